Rename the module to loomreel and lay it out in packages

Packages decision, config, bench and cli; the jar is target/loomreel.jar. No line of a decision is changed. SetupReader throws IllegalArgumentException, since both programs will read settings with it.

--- a/src/main/java/glenlink/Benchlink.java
+++ b/src/main/java/loomreel/bench/Benchlink.java
@@ -1,4 +1,4 @@
-package glenlink;
+package loomreel.bench;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
@@ -15,6 +15,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import loomreel.config.SetupReader;
+import loomreel.decision.Brain;
+import loomreel.decision.Model;
 
 /**
  * Joins {@link Brain} to the bench: reads batches of events, hands them to one instance a node, writes one reply a
@@ -298,7 +301,10 @@
     private Model.Event event(Raw raw, Node node) throws BadInputException {
         switch (raw.kind) {
             case "Up" -> {
-                Model.Settings settings = new SetupReader(raw.need("Setup")).read();
+                if (!(raw.need("Setup") instanceof Map<?, ?> setup)) {
+                    throw new BadInputException("Up: Setup is not an object");
+                }
+                Model.Settings settings = new SetupReader(setup).read();
                 for (Model.RequestClass c : settings.classes()) {
                     node.classes.put(c.name(), node.classes.size());
                 }
--- a/src/main/java/glenlink/Main.java
+++ b/src/main/java/loomreel/cli/Main.java
@@ -1,8 +1,9 @@
-package glenlink;
+package loomreel.cli;
 
 import java.io.IOException;
+import loomreel.bench.Benchlink;
 
-/** The command line: {@code java -jar glenlink.jar benchlink}. */
+/** The command line: {@code java -jar loomreel.jar benchlink}. */
 public final class Main {
     private Main() { }
 
@@ -13,7 +14,7 @@
      */
     public static void main(String[] args) {
         if (args.length != 1 || !args[0].equals("benchlink")) {
-            System.err.println("usage: java -jar glenlink.jar benchlink");
+            System.err.println("usage: java -jar loomreel.jar benchlink");
             System.exit(2);
         }
         try {
--- a/src/main/java/glenlink/SetupReader.java
+++ b/src/main/java/loomreel/config/SetupReader.java
@@ -1,20 +1,31 @@
-package glenlink;
+package loomreel.config;
 
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import loomreel.decision.Model;
 
 /** Translates the settings of an instance's first message; an absent one takes the value that asks for least trust. */
-final class SetupReader {
+public final class SetupReader {
     private final Object root;
 
-    SetupReader(Object root) {
+    /**
+     * A reader of one settings object.
+     *
+     * @param root the object as maps, lists and plain values
+     */
+    public SetupReader(Object root) {
         this.root = root;
     }
 
-    Model.Settings read() throws Benchlink.BadInputException {
+    /**
+     * Translates the settings.
+     *
+     * @throws IllegalArgumentException if they are not an object
+     */
+    public Model.Settings read() {
         if (!(root instanceof Map<?, ?>)) {
-            throw new Benchlink.BadInputException("Up: Setup is not an object");
+            throw new IllegalArgumentException("the settings are not an object");
         }
         List<Model.RequestClass> classes = new ArrayList<>();
         List<Object> kinds = list(root, "HostTypes");
@@ -89,6 +100,6 @@
     }
 
     private static long time(double otherwise, Object from, String... path) {
-        return Benchlink.micros(number(get(from, path), otherwise));
+        return Math.round(number(get(from, path), otherwise) * 1e6);
     }
 }
--- a/src/main/java/glenlink/Book.java
+++ b/src/main/java/loomreel/decision/Book.java
@@ -1,11 +1,11 @@
-package glenlink;
-
-import glenlink.Model.Arrival;
-import glenlink.Model.Entry;
-import glenlink.Model.RequestClass;
-import glenlink.Model.Report;
-import glenlink.Model.Settings;
-import glenlink.Model.State;
+package loomreel.decision;
+
+import loomreel.decision.Model.Arrival;
+import loomreel.decision.Model.Entry;
+import loomreel.decision.Model.RequestClass;
+import loomreel.decision.Model.Report;
+import loomreel.decision.Model.Settings;
+import loomreel.decision.Model.State;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
--- a/src/main/java/glenlink/Brain.java
+++ b/src/main/java/loomreel/decision/Brain.java
@@ -1,7 +1,7 @@
-package glenlink;
+package loomreel.decision;
 
-import glenlink.Book.*;
-import glenlink.Model.*;
+import loomreel.decision.Book.*;
+import loomreel.decision.Model.*;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
--- a/src/main/java/glenlink/Model.java
+++ b/src/main/java/loomreel/decision/Model.java
@@ -1,4 +1,4 @@
-package glenlink;
+package loomreel.decision;
 
 import java.util.List;
 
--- a/src/test/java/glenlink/BenchlinkTest.java
+++ b/src/test/java/loomreel/bench/BenchlinkTest.java
@@ -1,4 +1,4 @@
-package glenlink;
+package loomreel.bench;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
--- a/src/test/java/glenlink/ExampleTest.java
+++ b/src/test/java/loomreel/decision/ExampleTest.java
@@ -1,4 +1,4 @@
-package glenlink;
+package loomreel.decision;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -28,7 +28,7 @@
         node.on(new Model.Arrival("r1", "ledger-7", 1, 0, -1, 5_000_000, false, Double.NaN), 10, actions);
         // end
         assertTrue(actions.contains(new Model.Send("r1", "w1", 0)));
-        String here = Files.readString(Path.of("src/test/java/glenlink/ExampleTest.java"));
+        String here = Files.readString(Path.of("src/test/java/loomreel/decision/ExampleTest.java"));
         String example = here.substring(here.indexOf("// example") + 11, here.indexOf("        // end"));
         String readme = Files.readString(Path.of("README.md"));
         assertEquals(example.stripTrailing().stripIndent().strip(), readme.substring(readme.indexOf("```java") + 7,
--- a/src/test/java/glenlink/Fixture.java
+++ b/src/test/java/loomreel/decision/Fixture.java
@@ -1,6 +1,6 @@
-package glenlink;
+package loomreel.decision;
 
-import glenlink.Model.*;
+import loomreel.decision.Model.*;
 import java.util.ArrayList;
 import java.util.List;
 
--- a/src/test/java/glenlink/LegalityTest.java
+++ b/src/test/java/loomreel/decision/LegalityTest.java
@@ -1,10 +1,10 @@
-package glenlink;
+package loomreel.decision;
 
-import static glenlink.Fixture.SECOND;
+import static loomreel.decision.Fixture.SECOND;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import glenlink.Model.*;
+import loomreel.decision.Model.*;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
--- a/src/test/java/glenlink/RulesTest.java
+++ b/src/test/java/loomreel/decision/RulesTest.java
@@ -1,13 +1,13 @@
-package glenlink;
+package loomreel.decision;
 
-import static glenlink.Fixture.SECOND;
-import static glenlink.Fixture.of;
-import static glenlink.Fixture.sends;
+import static loomreel.decision.Fixture.SECOND;
+import static loomreel.decision.Fixture.of;
+import static loomreel.decision.Fixture.sends;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import glenlink.Model.*;
+import loomreel.decision.Model.*;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
