--- a/src/main/java/loomreel/bench/Benchlink.java
+++ b/src/main/java/loomreel/bench/Benchlink.java
@@ -11,10 +11,10 @@
 import java.io.OutputStream;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import loomreel.config.JsonTree;
 import loomreel.config.SetupReader;
 import loomreel.decision.Brain;
 import loomreel.decision.Model;
@@ -216,7 +216,7 @@
                 expect(json, JsonToken.VALUE_STRING, "an event's kind is not a string");
                 raw.kind = json.getText();
             } else {
-                raw.fields.put(name, value(json));
+                raw.fields.put(name, JsonTree.read(json));
             }
         }
         if (raw.kind == null) {
@@ -225,42 +225,6 @@
         return raw;
     }
 
-    private static Object value(JsonParser json) throws IOException {
-        switch (json.currentToken()) {
-            case START_OBJECT -> {
-                Map<String, Object> map = new LinkedHashMap<>();
-                while (json.nextToken() != JsonToken.END_OBJECT) {
-                    String name = json.currentName();
-                    json.nextToken();
-                    map.put(name, value(json));
-                }
-                return map;
-            }
-            case START_ARRAY -> {
-                List<Object> list = new ArrayList<>();
-                while (json.nextToken() != JsonToken.END_ARRAY) {
-                    list.add(value(json));
-                }
-                return list;
-            }
-            case VALUE_STRING -> {
-                return json.getText();
-            }
-            case VALUE_NUMBER_INT, VALUE_NUMBER_FLOAT -> {
-                return json.getNumberValue();
-            }
-            case VALUE_TRUE -> {
-                return Boolean.TRUE;
-            }
-            case VALUE_FALSE -> {
-                return Boolean.FALSE;
-            }
-            default -> {
-                return null;
-            }
-        }
-    }
-
     private void play(Part part, long now, JsonGenerator answer) throws BadInputException, IOException {
         answer.writeStartObject();
         answer.writeNumberField("I", part.instance());
--- a/src/main/java/loomreel/cli/Main.java
+++ b/src/main/java/loomreel/cli/Main.java
@@ -1,27 +1,32 @@
 package loomreel.cli;
 
-import java.io.IOException;
-import loomreel.bench.Benchlink;
+import java.util.concurrent.Callable;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Spec;
+
+/** The command line: {@code java -jar loomreel.jar COMMAND}. */
+@Command(name = "loomreel", description = "Hands jobs to copy workers.", mixinStandardHelpOptions = true,
+        versionProvider = Version.class, subcommands = {Serve.class, CheckConfig.class, BenchlinkCommand.class,
+            Version.class, CommandLine.HelpCommand.class})
+public final class Main implements Callable<Integer> {
+    @Spec
+    private CommandSpec spec;
 
-/** The command line: {@code java -jar loomreel.jar benchlink}. */
-public final class Main {
     private Main() { }
 
     /**
-     * Runs the adapter on standard input and output.
+     * Runs one command; the process ends with its exit code.
      *
-     * @param args the one word {@code benchlink}
+     * @param args the command and its options
      */
     public static void main(String[] args) {
-        if (args.length != 1 || !args[0].equals("benchlink")) {
-            System.err.println("usage: java -jar loomreel.jar benchlink");
-            System.exit(2);
-        }
-        try {
-            new Benchlink(System.in, System.out).run();
-        } catch (Benchlink.BadInputException | IOException e) {
-            System.err.println("benchlink: " + e.getMessage());
-            System.exit(1);
-        }
+        System.exit(new CommandLine(new Main()).execute(args));
+    }
+
+    @Override
+    public Integer call() {
+        throw new CommandLine.ParameterException(spec.commandLine(), "a command is needed");
     }
 }
--- /dev/null
+++ b/src/main/java/loomreel/cli/Serve.java
@@ -0,0 +1,46 @@
+package loomreel.cli;
+
+import java.io.IOException;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import loomreel.config.ConfigException;
+import loomreel.config.ServeConfig;
+import loomreel.net.Server;
+import picocli.CommandLine.Command;
+
+/** The real dispatcher, in the foreground. */
+@Command(name = "serve", description = "Serves until SIGTERM, then until empty. Configured by BALANCER_CONFIG.")
+final class Serve implements Callable<Integer> {
+    @Override
+    public Integer call() {
+        Server server;
+        try {
+            server = new Server(ServeConfig.read(System.getenv()));
+        } catch (ConfigException e) {
+            System.err.println("loomreel: " + e.getMessage());
+            return 2;
+        } catch (IOException e) {
+            System.err.println("loomreel: cannot listen: " + e.getMessage());
+            return 1;
+        }
+        CountDownLatch done = new CountDownLatch(1);
+        // The JVM ends when its hooks have ended: this one holds it until all that was taken is served.
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            server.drain();
+            try {
+                done.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }, "drain"));
+        try {
+            server.run();
+            return 0;
+        } catch (IOException e) {
+            System.err.println("loomreel: " + e.getMessage());
+            return 1;
+        } finally {
+            done.countDown();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/loomreel/config/ServeConfig.java
@@ -0,0 +1,71 @@
+package loomreel.config;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import loomreel.decision.Model;
+
+/**
+ * What a real dispatcher is told: {@code BALANCER_CONFIG} names a JSON file, and the other variables stand above it.
+ *
+ * @param sockets how many file descriptors the process may hold
+ * @param memory how many bytes it may use
+ * @param known the list of copy workers as it was last held
+ * @param connectWithin how long a connection may take to come up, in microseconds
+ * @param idleFor how long a copy worker keeps an idle connection, in microseconds
+ * @param answerSlack how long after a client's deadline an answer still counts, in microseconds
+ */
+public record ServeConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
+        long memory, ResolverResult known, Model.Settings settings, long connectWithin, long idleFor,
+        long answerSlack) {
+    /**
+     * Reads the configuration.
+     *
+     * @param env the environment
+     * @throws ConfigException if something is missing or does not fit
+     */
+    public static ServeConfig read(Map<String, String> env) throws ConfigException {
+        String file = env.get("BALANCER_CONFIG");
+        if (file == null || file.isEmpty()) {
+            throw new ConfigException("BALANCER_CONFIG is not set");
+        }
+        Object root;
+        try {
+            root = JsonTree.read(Files.readAllBytes(Path.of(file)));
+        } catch (IOException | RuntimeException e) {
+            throw new ConfigException(file + " cannot be read: " + e.getMessage().lines().findFirst().orElse(""));
+        }
+        try {
+            Model.Settings settings = new SetupReader(SetupReader.get(root, "settings")).read();
+            if (settings.classes().isEmpty()) {
+                throw new IllegalArgumentException("no RequestClasses");
+            }
+            Object seed = SetupReader.get(root, "seed");
+            return new ServeConfig(text(env, "NAME", root, "name"),
+                    ResolverResult.address(text(env, "LISTEN", root, "listen")),
+                    ResolverResult.address(text(env, "DISCOVERY", root, "discovery")),
+                    Long.parseUnsignedLong(String.valueOf(seed), 16),
+                    (int) SetupReader.number(SetupReader.get(root, "limits", "sockets"), 1024),
+                    (long) SetupReader.number(SetupReader.get(root, "limits", "memory_mb"), 192) << 20,
+                    ResolverResult.of(SetupReader.get(root, "known")), settings,
+                    SetupReader.time(0.25, root, "settings", "PolicyLimits", "ConnectTimeoutS"),
+                    SetupReader.time(5, root, "settings", "PolicyLimits", "ConnIdleS"),
+                    SetupReader.time(0, root, "settings", "Invariants", "AnswerSlackS"));
+        } catch (IllegalArgumentException e) {
+            throw new ConfigException(file + ": " + e.getMessage());
+        }
+    }
+
+    private static String text(Map<String, String> env, String variable, Object root, String field) {
+        String value = env.get("BALANCER_" + variable);
+        if (value == null || value.isEmpty()) {
+            value = SetupReader.text(root, field);
+        }
+        if (value.isEmpty()) {
+            throw new IllegalArgumentException("no " + field + ", and BALANCER_" + variable + " is not set");
+        }
+        return value;
+    }
+}
--- a/src/main/java/loomreel/config/SetupReader.java
+++ b/src/main/java/loomreel/config/SetupReader.java
@@ -71,7 +71,7 @@
                 flag(root, "Specifics", "TellsStart"), time(0.001, root, "TickS"));
     }
 
-    private static Object get(Object from, String... path) {
+    static Object get(Object from, String... path) {
         Object here = from;
         for (String name : path) {
             here = here instanceof Map<?, ?> map ? map.get(name) : null;
@@ -87,7 +87,7 @@
         return get(from, path) instanceof List<?> list ? new ArrayList<>(list) : List.of();
     }
 
-    private static String text(Object from, String... path) {
+    static String text(Object from, String... path) {
         return get(from, path) instanceof String s ? s : "";
     }
 
@@ -95,11 +95,11 @@
         return Boolean.TRUE.equals(get(from, path));
     }
 
-    private static double number(Object value, double otherwise) {
+    static double number(Object value, double otherwise) {
         return value instanceof Number n ? n.doubleValue() : otherwise;
     }
 
-    private static long time(double otherwise, Object from, String... path) {
+    static long time(double otherwise, Object from, String... path) {
         return Math.round(number(get(from, path), otherwise) * 1e6);
     }
 }
--- /dev/null
+++ b/src/main/java/loomreel/net/ClientConnection.java
@@ -0,0 +1,280 @@
+package loomreel.net;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import java.util.Map;
+import loomreel.config.JsonTree;
+import loomreel.decision.Model;
+import loomreel.http.BadMessageException;
+import loomreel.http.Bytes;
+import loomreel.http.Heads;
+import loomreel.http.Message;
+
+/** A connection that came in: from a client with jobs, from a copy worker with news, or from the front. */
+final class ClientConnection extends Connection implements Rpc.Caller {
+    /** How long a request may take to come in, an answer to go out, or the other side to close after it. */
+    private static final long PATIENCE = 10_000_000;
+
+    private final Server server;
+    /** Whether it may only bring news: there are too many connections for another job. */
+    private final boolean newsOnly;
+    /** The job that it waits for. */
+    private Rpc rpc;
+    /** What has come behind a request that is not answered yet. */
+    private final Bytes ahead;
+    private boolean answering;
+    private boolean lastAnswer;
+    /** Our side is closed; what still comes is thrown away until the other side closes too. */
+    private boolean leaving;
+    private EventLoop.Timer timer;
+
+    ClientConnection(EventLoop loop, SocketChannel channel, Server server, boolean newsOnly) throws IOException {
+        super(loop, channel, true, true);
+        this.server = server;
+        this.newsOnly = newsOnly;
+        ahead = new Bytes(loop.pool);
+    }
+
+    /** Whether something of an answer is owed or under way. */
+    boolean owes() {
+        return rpc != null || answering;
+    }
+
+    @Override
+    boolean takesMore() {
+        return !owes() && !leaving;
+    }
+
+    @Override
+    void take(ByteBuffer in) {
+        if (leaving) {
+            return;
+        }
+        if (!owes()) {
+            boolean fresh = parser.atStart();
+            super.take(in);
+            if (fresh && !isClosed() && !owes() && !leaving && !parser.atStart()) {
+                server.busy(this);
+                within();
+            }
+            if (parser.expectsContinue() && !owes()) {
+                out.append("HTTP/1.1 100 Continue\r\n\r\n");
+                flush();
+            }
+        }
+        // One request at a time: what came behind waits until it is answered.
+        if (!isClosed() && !leaving) {
+            ahead.append(in, in.remaining());
+        }
+        if (ahead.length() >= loop.scratch.capacity()) {
+            pauseReading(true);
+        }
+    }
+
+    private void within() {
+        stopTimer();
+        timer = loop.at(loop.now() + PATIENCE, () -> {
+            if (!owes() && !leaving) {
+                refuse(408);
+            } else {
+                close();
+            }
+        });
+    }
+
+    private void stopTimer() {
+        if (timer != null) {
+            timer.cancel();
+            timer = null;
+        }
+    }
+
+    @Override
+    void received(Message message) {
+        stopTimer();
+        server.busy(this);
+        answering = true;
+        lastAnswer = !message.keepAlive();
+        String target = message.target();
+        int query = target.indexOf('?');
+        String path = query < 0 ? target : target.substring(0, query);
+        if (path.equals("/health/ready")) {
+            boolean asks = message.method().equals("GET") || message.method().equals("HEAD");
+            answer(asks ? 200 : 405, new byte[0], asks ? null : "Allow: GET, HEAD");
+        } else if (!path.equals("/_jobs/news") && !server.classes.containsKey(requestClass(path))) {
+            answer(404, new byte[0], null);
+        } else if (!message.method().equals("POST")) {
+            answer(405, new byte[0], "Allow: POST");
+        } else if (path.equals("/_jobs/news")) {
+            news(message.body().toArray());
+        } else if (newsOnly) {
+            lastAnswer = true;
+            refused(new UnavailableStatus(Server.COME_BACK));
+        } else {
+            job(message, server.classes.get(requestClass(path)));
+            return;
+        }
+        message.body().release();
+    }
+
+    private static String requestClass(String path) {
+        int end = path.indexOf('/', 1);
+        return path.substring(1, end < 0 ? path.length() : end);
+    }
+
+    private void job(Message message, int requestClass) {
+        String id = message.header("x-call-id");
+        String budget = message.header("x-budget-ms");
+        if (id == null || !id.matches("[0-9a-fA-F]{16}") || budget == null || !budget.matches("[0-9]{1,9}")
+                || server.dispatcher.holds(id)) {
+            message.body().release();
+            answer(400, new byte[0], null);
+            return;
+        }
+        String caller = message.header("x-caller");
+        String cost = message.header("x-call-cost");
+        long due = loop.now() + 1000 * Long.parseLong(budget);
+        rpc = new Rpc(id, message.target(), message.body(), due, this);
+        server.dispatcher.take(rpc, new Model.Arrival(id, message.header("x-route-hash"),
+                Math.max(1, slots(message.header("x-call-info"))), requestClass,
+                server.tenants.getOrDefault(caller, -1), due, "1".equals(message.header("x-again")),
+                cost == null ? Double.NaN : number(cost, Double.NaN)));
+    }
+
+    private static double slots(String info) {
+        if (info != null) {
+            for (String part : info.split(",")) {
+                String[] field = part.strip().split("=", 2);
+                if (field.length == 2 && (field[0].equals("slots") || field[0].equals("CoresNeeded"))) {
+                    return number(field[1], 1);
+                }
+            }
+        }
+        return 1;
+    }
+
+    private static double number(String text, double otherwise) {
+        try {
+            double value = Double.parseDouble(text.strip());
+            return value >= 0 && Double.isFinite(value) ? value : otherwise;
+        } catch (NumberFormatException e) {
+            return otherwise;
+        }
+    }
+
+    private void news(byte[] body) {
+        Object tree;
+        try {
+            tree = JsonTree.read(body);
+        } catch (IOException e) {
+            tree = null;
+        }
+        if (!(tree instanceof Map<?, ?> news) || !(news.get("id") instanceof String id)
+                || !(news.get("from") instanceof String from) || !(news.get("state") instanceof String state)) {
+            server.log.warn("a call-back that is no news of a job");
+            answer(400, new byte[0], null);
+            return;
+        }
+        // Answered first: a copy worker repeats what is not answered, and the rest may take a while.
+        answer(200, new byte[0], null);
+        byte[] result = news.get("result") instanceof String text ? text.getBytes(StandardCharsets.UTF_8) : new byte[0];
+        server.dispatcher.news(id, from, state, result, news.get("load"));
+    }
+
+    @Override
+    public void served(byte[] result) {
+        answer(200, result, null);
+    }
+
+    @Override
+    public void refused(UnavailableStatus status) {
+        answer(503, new byte[0], status.retryAfter() == 0 ? null
+                : String.format(Locale.ROOT, "Retry-After: %.3f", status.retryAfter() / 1e6));
+    }
+
+    @Override
+    public void failed() {
+        answer(500, new byte[0], null);
+    }
+
+    private void answer(int status, byte[] body, String header) {
+        rpc = null;
+        answering = true;
+        lastAnswer |= server.isDraining();
+        String[] close = lastAnswer ? new String[] {"Connection: close"} : new String[0];
+        String[] headers = header == null ? close
+                : lastAnswer ? new String[] {header, close[0]} : new String[] {header};
+        out.append(Heads.response(status, body.length, headers));
+        out.append(body);
+        within();
+        flush();
+    }
+
+    /** An answer after which nothing that comes can be made sense of. */
+    private void refuse(int status) {
+        lastAnswer = true;
+        answer(status, new byte[0], null);
+    }
+
+    @Override
+    void malformed(BadMessageException why) {
+        server.log.info("a request that cannot be read: " + why.getMessage());
+        server.busy(this);
+        refuse(why.status);
+    }
+
+    @Override
+    void flushed() {
+        if (!answering) {
+            return;
+        }
+        answering = false;
+        stopTimer();
+        if (lastAnswer) {
+            leave();
+            return;
+        }
+        server.idle(this);
+        if (ahead.length() > 0) {
+            byte[] next = ahead.toArray();
+            ahead.release();
+            pauseReading(false);
+            loop.at(loop.now(), () -> take(ByteBuffer.wrap(next)));
+        }
+    }
+
+    /** Closing at once would reset the connection if anything has come unread, and the answer could be lost. */
+    private void leave() {
+        leaving = true;
+        try {
+            channel.shutdownOutput();
+        } catch (IOException e) {
+            close();
+            return;
+        }
+        within();
+    }
+
+    @Override
+    void broken() {
+        if (rpc != null) {
+            Rpc gone = rpc;
+            rpc = null;
+            server.dispatcher.withdraw(gone);
+        }
+    }
+
+    @Override
+    void close() {
+        if (!isClosed()) {
+            broken();
+            super.close();
+            ahead.release();
+            stopTimer();
+            server.closed(this);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/loomreel/net/Connection.java
@@ -0,0 +1,155 @@
+package loomreel.net;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.SocketChannel;
+import loomreel.http.BadMessageException;
+import loomreel.http.Bytes;
+import loomreel.http.Message;
+import loomreel.http.MessageParser;
+
+/** One TCP connection that carries HTTP messages both ways. */
+abstract class Connection implements EventLoop.Handler {
+    final EventLoop loop;
+    final SocketChannel channel;
+    final MessageParser parser;
+    /** What is still to be written. */
+    final Bytes out;
+    private final SelectionKey key;
+    private boolean up;
+    private boolean closed;
+
+    /**
+     * Takes over a channel.
+     *
+     * @param up whether it is connected; else it is on its way
+     * @param requests whether requests come in here; else responses
+     */
+    Connection(EventLoop loop, SocketChannel channel, boolean up, boolean requests) throws IOException {
+        this.loop = loop;
+        this.channel = channel;
+        this.up = up;
+        parser = new MessageParser(loop.pool, requests);
+        out = new Bytes(loop.pool);
+        key = channel.register(loop.selector, up ? SelectionKey.OP_READ : SelectionKey.OP_CONNECT, this);
+    }
+
+    /** A whole message has come. */
+    abstract void received(Message message);
+
+    /** The bytes that come are no message. */
+    abstract void malformed(BadMessageException why);
+
+    /** The other side has closed or broken the connection; it is closed here after this. */
+    abstract void broken();
+
+    /** All that was to be written is written. */
+    abstract void flushed();
+
+    final boolean isUp() {
+        return up;
+    }
+
+    final boolean isClosed() {
+        return closed;
+    }
+
+    @Override
+    public final void ready(SelectionKey selected) {
+        try {
+            if (!up) {
+                up = channel.finishConnect();
+                flush();
+            } else if (selected.isWritable()) {
+                flush();
+            }
+            if (!closed && selected.isReadable()) {
+                read();
+            }
+        } catch (IOException e) {
+            fail();
+        }
+    }
+
+    private void read() throws IOException {
+        ByteBuffer in = loop.scratch.clear();
+        int size = channel.read(in);
+        in.flip();
+        if (size >= 0) {
+            take(in);
+            return;
+        }
+        Message last = parser.end();
+        if (last != null) {
+            received(last);
+        }
+        fail();
+    }
+
+    /** Whether another message may be read now. */
+    boolean takesMore() {
+        return true;
+    }
+
+    /** Takes bytes in as they are read. */
+    void take(ByteBuffer in) {
+        try {
+            while (!closed && takesMore() && in.hasRemaining()) {
+                Message message = parser.feed(in);
+                if (message != null) {
+                    received(message);
+                }
+            }
+        } catch (BadMessageException e) {
+            malformed(e);
+        }
+    }
+
+    /** Writes as much as goes; the rest follows when the channel takes it. */
+    final void flush() {
+        if (!up || closed) {
+            return;
+        }
+        boolean all;
+        try {
+            all = out.writeTo(channel);
+        } catch (IOException e) {
+            fail();
+            return;
+        }
+        key.interestOps(all ? SelectionKey.OP_READ : SelectionKey.OP_READ | SelectionKey.OP_WRITE);
+        if (all) {
+            flushed();
+        }
+    }
+
+    /** Reads no more until told to; what must be written still is. */
+    final void pauseReading(boolean pause) {
+        if (!closed) {
+            key.interestOps(pause ? key.interestOps() & ~SelectionKey.OP_READ
+                    : key.interestOps() | SelectionKey.OP_READ);
+        }
+    }
+
+    private void fail() {
+        if (!closed) {
+            broken();
+            close();
+        }
+    }
+
+    void close() {
+        if (!closed) {
+            closed = true;
+            parser.release();
+            out.release();
+            key.cancel();
+            try {
+                channel.close();
+            } catch (IOException e) {
+                // The descriptor is gone either way.
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/loomreel/net/Dispatcher.java
@@ -0,0 +1,253 @@
+package loomreel.net;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import loomreel.config.ResolverResult;
+import loomreel.config.ServeConfig;
+import loomreel.decision.Brain;
+import loomreel.decision.Model;
+import loomreel.decision.Model.Event;
+import loomreel.decision.Model.Outcome;
+
+/** Tells the module what the sockets see and does on the sockets what it says. It decides nothing. */
+final class Dispatcher implements Resolver.Listener {
+    private static final long SECOND = 1_000_000;
+    private static final long FIGURES_EVERY = 10 * SECOND;
+    /** Our side of an idle connection ends at this share of the time after which the copy worker ends it. */
+    private static final double IDLE_SHARE = 0.7;
+
+    final EventLoop loop;
+    final BoundedLog log = new BoundedLog("loomreel.net.dispatcher");
+    private final BoundedLog moduleLog = new BoundedLog("loomreel.decision");
+    private final BoundedLog peerLog = new BoundedLog("loomreel.net.peer");
+    private final ServeConfig config;
+    private final Brain brain = new Brain();
+    private final Resolver resolver;
+    private final Peer.Descriptors descriptors;
+    private final Map<String, Rpc> rpcs = new HashMap<>();
+    private final Map<String, Subchannel> subchannels = new HashMap<>();
+    /** The module answers one event before it hears the next, also of what its own answer caused. */
+    private final ArrayDeque<Event> events = new ArrayDeque<>();
+    private final List<Model.Action> actions = new ArrayList<>();
+    private boolean telling;
+    private int taken;
+    private int served;
+    private int refused;
+    private int failed;
+    private int withdrawn;
+
+    /** A dispatcher that has not started; {@code sockets} are for calls that it makes. */
+    Dispatcher(EventLoop loop, ServeConfig config, int sockets) {
+        this.loop = loop;
+        this.config = config;
+        descriptors = new Peer.Descriptors(sockets);
+        resolver = new Resolver(loop, new Peer(loop, "discovery", config.discovery(), new Peer.Descriptors(1),
+                config.connectWithin(), SECOND, peerLog), config.known().seq(), this);
+    }
+
+    void start() {
+        tell(new Model.Start(config.seed(), config.settings()));
+        resolved(config.known());
+        everySecond();
+        figures();
+    }
+
+    private void everySecond() {
+        subchannels.values().forEach(Subchannel::closeStale);
+        loop.at(loop.now() + SECOND, this::everySecond);
+    }
+
+    private void figures() {
+        log.info("open " + rpcs.size() + ", in all: taken " + taken + ", served " + served + ", refused " + refused
+                + ", failed " + failed + ", withdrawn " + withdrawn + "; copy workers " + subchannels.size());
+        loop.at(loop.now() + FIGURES_EVERY, this::figures);
+    }
+
+    /** Whether nothing that was taken is still open. */
+    boolean isEmpty() {
+        return rpcs.values().stream().allMatch(Rpc::isOver);
+    }
+
+    /** Whether an RPC of that id is on its way. */
+    boolean holds(String id) {
+        return rpcs.containsKey(id);
+    }
+
+    /** Takes an RPC; from here on it gets one answer. */
+    void take(Rpc rpc, Model.Arrival arrival) {
+        taken++;
+        rpcs.put(rpc.id, rpc);
+        loop.at(rpc.deadline + config.answerSlack(), () -> overdue(rpc));
+        tell(arrival);
+    }
+
+    /** The module answers before the deadline. Should it ever not, the client still gets an answer. */
+    private void overdue(Rpc rpc) {
+        if (!rpc.isOver()) {
+            log.warn("no decision on " + rpc.id + " by its deadline: failed");
+            failed++;
+            rpc.fail();
+            tell(new Model.Withdrawn(rpc.id));
+        }
+    }
+
+    /** The caller has gone. */
+    void withdraw(Rpc rpc) {
+        if (rpc.end()) {
+            withdrawn++;
+            tell(new Model.Withdrawn(rpc.id));
+            forget(rpc);
+        }
+    }
+
+    /** What a copy worker says of a job; of one that is not known any more there is nothing to be done. */
+    void news(String id, String from, String state, byte[] result, Object load) {
+        Rpc rpc = rpcs.get(id);
+        CallAttempt attempt = rpc == null ? null : rpc.openAt(from);
+        if (attempt != null) {
+            attempt.news(state, result, load);
+        }
+    }
+
+    void running(CallAttempt attempt) {
+        tell(new Model.Running(attempt.rpc.id, attempt.number));
+    }
+
+    void ended(CallAttempt attempt, Outcome outcome, Model.Report report) {
+        Rpc rpc = attempt.rpc;
+        if (outcome == Outcome.OK) {
+            served++;
+        }
+        tell(new Model.Ended(rpc.id, attempt.number, attempt.worker(), outcome, rpc.isOver(),
+                loop.now() - attempt.sentAt, report));
+        forget(rpc);
+    }
+
+    void probed(String worker, Outcome outcome, long sentAt, Model.Report report) {
+        tell(new Model.Probed(worker, outcome, loop.now() - sentAt, report));
+    }
+
+    @Override
+    public void lost() {
+        tell(new Model.ListLost());
+    }
+
+    @Override
+    public void resolved(ResolverResult result) {
+        Map<String, Subchannel> before = new HashMap<>(subchannels);
+        for (Model.Entry entry : result.entries()) {
+            before.remove(entry.id());
+            if (entry.state() == Model.State.GONE) {
+                retire(entry.id());
+            } else {
+                subchannels.computeIfAbsent(entry.id(), id -> subchannel(entry, result))
+                        .update(result.addresses().get(entry.id()), entry.startedAt());
+            }
+        }
+        if (result.whole()) {
+            before.keySet().forEach(this::retire);
+        }
+        tell(result.whole() ? new Model.WholeList(result.entries()) : new Model.ListChanges(result.entries()));
+    }
+
+    private Subchannel subchannel(Model.Entry entry, ResolverResult result) {
+        Peer peer = new Peer(loop, entry.id(), result.addresses().get(entry.id()), descriptors,
+                config.connectWithin(), (long) (config.idleFor() * IDLE_SHARE), peerLog);
+        return new Subchannel(this, entry.id(), peer, entry.startedAt(), config.connectWithin());
+    }
+
+    private void retire(String id) {
+        Subchannel gone = subchannels.remove(id);
+        if (gone != null) {
+            gone.retire();
+        }
+    }
+
+    /** Every event goes through here, one at a time. */
+    private void tell(Event event) {
+        events.add(event);
+        if (telling) {
+            return;
+        }
+        telling = true;
+        try {
+            for (Event next = events.poll(); next != null; next = events.poll()) {
+                actions.clear();
+                brain.on(next, loop.now(), actions);
+                actions.forEach(this::perform);
+            }
+        } finally {
+            telling = false;
+        }
+    }
+
+    private void perform(Model.Action action) {
+        if (action instanceof Model.Send send) {
+            send(send);
+        } else if (action instanceof Model.Cancel cancel) {
+            Rpc rpc = rpcs.get(cancel.request());
+            if (rpc != null) {
+                rpc.attempts.get(cancel.attempt()).cancel();
+            }
+        } else if (action instanceof Model.Refuse refuse) {
+            Rpc rpc = rpcs.get(refuse.request());
+            if (rpc != null && !rpc.isOver()) {
+                refused++;
+                rpc.refuse(new UnavailableStatus(refuse.holdOff()));
+                forget(rpc);
+            }
+        } else if (action instanceof Model.Fail fail) {
+            Rpc rpc = rpcs.get(fail.request());
+            if (rpc != null && !rpc.isOver()) {
+                failed++;
+                rpc.fail();
+                forget(rpc);
+            }
+        } else if (action instanceof Model.Probe probe) {
+            Subchannel subchannel = subchannels.get(probe.worker());
+            if (subchannel == null) {
+                probed(probe.worker(), Outcome.CONNECT_FAILED, loop.now(), null);
+            } else {
+                subchannel.probe();
+            }
+        } else if (action instanceof Model.Timer timer) {
+            loop.at(timer.at(), () -> tell(new Model.TimerDue(timer.token())));
+        } else if (action instanceof Model.Subscribe) {
+            resolver.watch();
+        } else if (action instanceof Model.Log line) {
+            moduleLog.info(line.text());
+        } else {
+            throw new IllegalStateException("no way to do " + action);
+        }
+    }
+
+    /** Every send makes an attempt, and every attempt ends, so that the module's numbers and ours stay the same. */
+    private void send(Model.Send send) {
+        Rpc rpc = rpcs.get(send.request());
+        if (rpc == null) {
+            return;
+        }
+        long until = send.timeout() > 0 ? Math.min(rpc.deadline, loop.now() + send.timeout()) : rpc.deadline;
+        Subchannel subchannel = subchannels.get(send.worker());
+        boolean moot = rpc.isOver() || rpc.attempts.size() >= config.settings().limits().maxAttempts()
+                || loop.now() >= until || rpc.openAt(send.worker()) != null;
+        CallAttempt attempt = new CallAttempt(this, rpc, send.worker(), subchannel, loop.now(), until);
+        rpc.attempts.add(attempt);
+        if (moot) {
+            attempt.skip(Outcome.MOOT);
+        } else if (subchannel == null) {
+            attempt.skip(Outcome.CONNECT_FAILED);
+        } else {
+            attempt.start();
+        }
+    }
+
+    private void forget(Rpc rpc) {
+        if (rpc.isDone()) {
+            rpcs.remove(rpc.id, rpc);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/loomreel/net/EventLoop.java
@@ -0,0 +1,131 @@
+package loomreel.net;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
+import java.util.PriorityQueue;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import loomreel.http.BufferPool;
+
+/** One thread, one selector, one clock. Everything that a dispatcher holds belongs to this thread. */
+final class EventLoop {
+    /** Something that waits for its channel. */
+    interface Handler {
+        void ready(SelectionKey key);
+    }
+
+    /** Something to do at a time. */
+    static final class Timer implements Comparable<Timer> {
+        private final long at;
+        private final long order;
+        private Runnable task;
+
+        private Timer(long at, long order, Runnable task) {
+            this.at = at;
+            this.order = order;
+            this.task = task;
+        }
+
+        /** It will not be done. */
+        void cancel() {
+            task = null;
+        }
+
+        @Override
+        public int compareTo(Timer other) {
+            return at != other.at ? Long.compare(at, other.at) : Long.compare(order, other.order);
+        }
+    }
+
+    final Selector selector;
+    final BufferPool pool;
+    /** Where reads land; empty again at the end of each. */
+    final ByteBuffer scratch = ByteBuffer.allocateDirect(BufferPool.SIZE);
+    private final PriorityQueue<Timer> timers = new PriorityQueue<>();
+    private final Queue<Runnable> posted = new ConcurrentLinkedQueue<>();
+    private final BoundedLog log = new BoundedLog("loomreel.net.loop");
+    private final long anchor = System.currentTimeMillis() * 1000 - System.nanoTime() / 1000;
+    private long now = clock();
+    private long order;
+    private boolean stopped;
+
+    EventLoop(BufferPool pool) throws IOException {
+        this.pool = pool;
+        selector = Selector.open();
+    }
+
+    /**
+     * Microseconds, read once a turn. Set to Unix time when the loop was made and monotonic from then on, so that
+     * starts of copy workers, told in Unix time, are on the same clock.
+     */
+    long now() {
+        return now;
+    }
+
+    private long clock() {
+        return anchor + System.nanoTime() / 1000;
+    }
+
+    Timer at(long time, Runnable task) {
+        Timer timer = new Timer(time, order++, task);
+        timers.add(timer);
+        return timer;
+    }
+
+    /** Has the loop's thread do something soon. Any thread may call this. */
+    void post(Runnable task) {
+        posted.add(task);
+        selector.wakeup();
+    }
+
+    void stop() {
+        stopped = true;
+    }
+
+    void run() throws IOException {
+        while (!stopped) {
+            turn();
+        }
+    }
+
+    private void turn() throws IOException {
+        while (!timers.isEmpty() && timers.peek().task == null) {
+            timers.poll();
+        }
+        long wait = timers.isEmpty() ? 1_000_000 : timers.peek().at - clock();
+        if (wait <= 0) {
+            selector.selectNow();
+        } else {
+            selector.select((wait + 999) / 1000);
+        }
+        now = clock();
+        for (Runnable task = posted.poll(); task != null; task = posted.poll()) {
+            guarded(task);
+        }
+        for (SelectionKey key : selector.selectedKeys()) {
+            if (key.isValid()) {
+                guarded(() -> ((Handler) key.attachment()).ready(key));
+            }
+        }
+        selector.selectedKeys().clear();
+        // A timer set from here on is for the next turn, so that one that sets itself anew cannot starve the sockets.
+        long last = order;
+        while (!timers.isEmpty() && timers.peek().at <= now && timers.peek().order < last) {
+            Runnable task = timers.poll().task;
+            if (task != null) {
+                guarded(task);
+            }
+        }
+    }
+
+    /** A fault in one connection or timer must not end the process, and with it every request that it holds. */
+    private void guarded(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException e) {
+            log.error("a fault in the program itself", e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/loomreel/net/Exchange.java
@@ -0,0 +1,16 @@
+package loomreel.net;
+
+import loomreel.decision.Model.Outcome;
+import loomreel.http.Message;
+
+/** A request that this dispatcher makes: it ends in one of two ways, once. */
+interface Exchange {
+    /** When it stops waiting. */
+    long deadline();
+
+    /** The other side has answered; the body is released after this. */
+    void answered(Message message);
+
+    /** There is no answer: {@code CONNECT_FAILED} (nothing ran), {@code RESET} or {@code TIMEOUT}. */
+    void broken(Outcome outcome);
+}
--- /dev/null
+++ b/src/main/java/loomreel/net/Peer.java
@@ -0,0 +1,132 @@
+package loomreel.net;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import loomreel.decision.Model.Outcome;
+import loomreel.http.Bytes;
+
+/** A place that this dispatcher calls, with its connections; the one used last is used again first. */
+final class Peer {
+    /** Bounds the descriptors of all peers together. */
+    static final class Descriptors {
+        private final int most;
+        private int open;
+        /** Every idle connection of every peer, the longest idle first. */
+        private final ArrayDeque<PeerConnection> idle = new ArrayDeque<>();
+
+        Descriptors(int most) {
+            this.most = most;
+        }
+
+        /** Whether one more may be opened, if need be in place of an idle one. */
+        private boolean room() {
+            if (open >= most && !idle.isEmpty()) {
+                idle.peekFirst().close();
+            }
+            return open < most;
+        }
+    }
+
+    final BoundedLog log;
+    private final EventLoop loop;
+    private final String name;
+    private final Descriptors descriptors;
+    private final long connectWithin;
+    private final long idleFor;
+    private final ArrayDeque<PeerConnection> idle = new ArrayDeque<>();
+    private InetSocketAddress address;
+    private int generation;
+
+    /**
+     * A peer without connections.
+     *
+     * @param connectWithin how long a connection may take to come up
+     * @param idleFor how long one may lie idle
+     */
+    Peer(EventLoop loop, String name, InetSocketAddress address, Descriptors descriptors, long connectWithin,
+            long idleFor, BoundedLog log) {
+        this.loop = loop;
+        this.name = name;
+        this.address = address;
+        this.descriptors = descriptors;
+        this.connectWithin = connectWithin;
+        this.idleFor = idleFor;
+        this.log = log;
+    }
+
+    InetSocketAddress address() {
+        return address;
+    }
+
+    /** From here on only connections opened anew to this address are used: it moved, restarted or left. */
+    void renew(InetSocketAddress to) {
+        address = to;
+        generation++;
+        closeIdle();
+    }
+
+    /**
+     * Makes a request; it is taken from the caller and released.
+     *
+     * @return the connection that carries it, or null if there is none and the exchange has ended
+     */
+    PeerConnection call(Bytes request, Exchange exchange) {
+        closeStale();
+        PeerConnection connection = idle.pollLast();
+        if (connection == null) {
+            if (!descriptors.room()) {
+                log.warn("no descriptor left for " + this);
+                request.release();
+                exchange.broken(Outcome.CONNECT_FAILED);
+                return null;
+            }
+            try {
+                connection = new PeerConnection(loop, this, generation);
+                descriptors.open++;
+            } catch (IOException e) {
+                request.release();
+                exchange.broken(Outcome.CONNECT_FAILED);
+                return null;
+            }
+        } else {
+            descriptors.idle.remove(connection);
+        }
+        connection.carry(request, exchange, loop.now() + connectWithin);
+        return connection;
+    }
+
+    /** A connection has carried its exchange to the end. */
+    void free(PeerConnection connection) {
+        if (connection.generation != generation) {
+            connection.close();
+            return;
+        }
+        connection.idleSince = loop.now();
+        idle.addLast(connection);
+        descriptors.idle.addLast(connection);
+    }
+
+    void closed(PeerConnection connection) {
+        descriptors.open--;
+        idle.remove(connection);
+        descriptors.idle.remove(connection);
+    }
+
+    /** The other side closes idle connections in its own time, and a request that crosses that is lost: be first. */
+    void closeStale() {
+        while (!idle.isEmpty() && loop.now() - idle.peekFirst().idleSince >= idleFor) {
+            idle.peekFirst().close();
+        }
+    }
+
+    void closeIdle() {
+        new ArrayList<>(idle).forEach(PeerConnection::close);
+    }
+
+    @Override
+    public String toString() {
+        return name + " at " + address.getHostString() + ":" + address.getPort();
+    }
+}
--- /dev/null
+++ b/src/main/java/loomreel/net/PeerConnection.java
@@ -0,0 +1,123 @@
+package loomreel.net;
+
+import java.io.IOException;
+import java.net.StandardSocketOptions;
+import java.nio.channels.SocketChannel;
+import loomreel.decision.Model.Outcome;
+import loomreel.http.BadMessageException;
+import loomreel.http.Bytes;
+import loomreel.http.Message;
+
+/** A connection that this dispatcher has opened; it carries one exchange at a time. */
+final class PeerConnection extends Connection {
+    /** Counts the restarts and moves of the peer: what was opened before one is not used after it. */
+    final int generation;
+    long idleSince;
+    private final Peer peer;
+    private Exchange exchange;
+    private EventLoop.Timer timer;
+
+    PeerConnection(EventLoop loop, Peer peer, int generation) throws IOException {
+        super(loop, open(peer), false, false);
+        this.peer = peer;
+        this.generation = generation;
+    }
+
+    private static SocketChannel open(Peer peer) throws IOException {
+        SocketChannel channel = SocketChannel.open();
+        try {
+            channel.configureBlocking(false);
+            channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+            // On loopback this may be done at once; finishConnect then says so on the first turn.
+            channel.connect(peer.address());
+            return channel;
+        } catch (IOException e) {
+            channel.close();
+            throw e;
+        }
+    }
+
+    /**
+     * Carries an exchange; the connection must be free.
+     *
+     * @param upBy when the connection must stand; matters only for a new one
+     */
+    void carry(Bytes request, Exchange next, long upBy) {
+        exchange = next;
+        out.append(request);
+        request.release();
+        timer = loop.at(isUp() ? next.deadline() : Math.min(upBy, next.deadline()), this::due);
+        flush();
+    }
+
+    @Override
+    void flushed() {
+        // The connection stands now: from here on only the exchange's own deadline counts.
+        if (exchange != null) {
+            timer.cancel();
+            timer = loop.at(exchange.deadline(), this::due);
+        }
+    }
+
+    /** A machine that says nothing costs no more than the deadline. */
+    private void due() {
+        Outcome outcome = isUp() && out.length() == 0 ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED;
+        finish(outcome);
+        // Others to this machine are likely as dead, and reset once it is back: nothing more is written to them.
+        peer.closeIdle();
+    }
+
+    /** Gives the exchange up; the other side sees the connection close. */
+    void abandon() {
+        exchange = null;
+        close();
+    }
+
+    private void finish(Outcome outcome) {
+        Exchange ended = exchange;
+        exchange = null;
+        close();
+        if (ended != null) {
+            ended.broken(outcome);
+        }
+    }
+
+    @Override
+    void received(Message message) {
+        Exchange ended = exchange;
+        exchange = null;
+        if (ended == null || !message.keepAlive() || out.length() > 0) {
+            close();
+        } else {
+            timer.cancel();
+            peer.free(this);
+        }
+        if (ended != null) {
+            ended.answered(message);
+        }
+        message.body().release();
+    }
+
+    @Override
+    void malformed(BadMessageException why) {
+        peer.log.warn(peer + " answers what is not HTTP: " + why.getMessage());
+        finish(Outcome.RESET);
+    }
+
+    /** Before its last byte was written a request cannot have run; after that it may have. */
+    @Override
+    void broken() {
+        finish(isUp() && out.length() == 0 ? Outcome.RESET : Outcome.CONNECT_FAILED);
+    }
+
+    @Override
+    void close() {
+        if (!isClosed()) {
+            super.close();
+            if (timer != null) {
+                timer.cancel();
+            }
+            peer.closed(this);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/loomreel/net/package-info.java
@@ -0,0 +1,2 @@
+/** The real dispatcher: one selector loop that serves clients, copy workers' calls and discovery. */
+package loomreel.net;
