Test the real program as a process, as clients, copy workers and discovery meet it

Seen while writing them: Process.destroy closes the log stream, so the stop is sent through the handle; a budget under the class's late margin is given up at once, as it should be. The figures line now counts probes and lost probes.

--- a/src/main/java/loomreel/net/Dispatcher.java
+++ b/src/main/java/loomreel/net/Dispatcher.java
@@ -38,6 +38,8 @@
     private int refused;
     private int failed;
     private int withdrawn;
+    private int probes;
+    private int probesLost;
 
     /** A dispatcher that has not started; {@code sockets} are for calls that it makes. */
     Dispatcher(EventLoop loop, ServeConfig config, int sockets) {
@@ -62,7 +64,8 @@
 
     private void figures() {
         log.info("open " + rpcs.size() + ", in all: taken " + taken + ", served " + served + ", refused " + refused
-                + ", failed " + failed + ", withdrawn " + withdrawn + "; copy workers " + subchannels.size());
+                + ", failed " + failed + ", withdrawn " + withdrawn + "; copy workers " + subchannels.size() + ", probes " + probes
+                + ", of them lost " + probesLost);
         loop.at(loop.now() + FIGURES_EVERY, this::figures);
     }
 
@@ -127,6 +130,8 @@
     }
 
     void probed(String worker, Outcome outcome, long sentAt, Model.Report report) {
+        probes++;
+        probesLost += outcome == Outcome.OK ? 0 : 1;
         tell(new Model.Probed(worker, outcome, loop.now() - sentAt, report));
     }
 
--- a/src/main/java/loomreel/net/Server.java
+++ b/src/main/java/loomreel/net/Server.java
@@ -63,7 +63,7 @@
         listener.configureBlocking(false);
         listener.bind(config.listen(), 1024);
         key = listener.register(loop.selector, SelectionKey.OP_ACCEPT, this);
-        log.info(config.name() + " listens on " + config.listen() + ", " + config.known().entries().size()
+        log.info(config.name() + " listens on " + listener.getLocalAddress() + ", " + config.known().entries().size()
                 + " copy workers known");
     }
 
--- /dev/null
+++ b/src/test/java/loomreel/net/Http.java
@@ -0,0 +1,118 @@
+package loomreel.net;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+/** Plain blocking HTTP for tests: what clients, copy workers and discovery say and hear. */
+final class Http {
+    /** Long enough for any machine; a test that waits this long has failed. */
+    static final int PATIENCE_MS = 30_000;
+
+    private Http() { }
+
+    /** A message as it came, with the connection it came on. */
+    record Message(String first, String head, String body, Socket from) {
+        String header(String name) {
+            return head.lines().filter(l -> l.toLowerCase(Locale.ROOT).startsWith(name.toLowerCase(Locale.ROOT) + ":"))
+                    .map(l -> l.substring(name.length() + 1).strip()).findFirst().orElse(null);
+        }
+
+        int status() {
+            return Integer.parseInt(first.split(" ")[1]);
+        }
+
+        void answer(int status, String body, String... headers) throws IOException {
+            StringBuilder text = new StringBuilder("HTTP/1.1 " + status + " x\r\nContent-Length: " + body.length());
+            for (String header : headers) {
+                text.append("\r\n").append(header);
+            }
+            write(from, text + "\r\n\r\n" + body);
+        }
+    }
+
+    static void write(Socket socket, String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    /** The next message, or null at the end of the connection. */
+    static Message read(Socket socket) throws IOException {
+        InputStream in = socket.getInputStream();
+        ByteArrayOutputStream head = new ByteArrayOutputStream();
+        while (!head.toString(StandardCharsets.ISO_8859_1).endsWith("\r\n\r\n")) {
+            int next = in.read();
+            if (next < 0) {
+                return null;
+            }
+            head.write(next);
+        }
+        String text = head.toString(StandardCharsets.ISO_8859_1);
+        Message bare = new Message(text.substring(0, text.indexOf("\r\n")), text, "", socket);
+        int length = bare.header("Content-Length") == null ? 0 : Integer.parseInt(bare.header("Content-Length"));
+        return new Message(bare.first(), text, new String(in.readNBytes(length), StandardCharsets.UTF_8), socket);
+    }
+
+    /** A place that listens, as a copy worker or as discovery; the test answers what comes. */
+    static final class Peer implements AutoCloseable {
+        final ServerSocket listener = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+        private final BlockingQueue<Message> requests = new LinkedBlockingQueue<>();
+
+        Peer() throws IOException {
+            daemon(() -> {
+                while (true) {
+                    Socket socket = listener.accept();
+                    daemon(() -> {
+                        for (Message m = read(socket); m != null; m = read(socket)) {
+                            requests.add(m);
+                        }
+                    });
+                }
+            });
+        }
+
+        private interface Work {
+            void run() throws IOException;
+        }
+
+        private static void daemon(Work work) {
+            Thread thread = new Thread(() -> {
+                try {
+                    work.run();
+                } catch (IOException e) {
+                    // The other side or the test has closed the socket.
+                }
+            });
+            thread.setDaemon(true);
+            thread.start();
+        }
+
+        String address() {
+            return "127.0.0.1:" + listener.getLocalPort();
+        }
+
+        Message next() throws InterruptedException {
+            Message next = requests.poll(PATIENCE_MS, TimeUnit.MILLISECONDS);
+            if (next == null) {
+                throw new AssertionError("nothing was asked of " + address());
+            }
+            return next;
+        }
+
+        boolean wasAsked() {
+            return !requests.isEmpty();
+        }
+
+        @Override
+        public void close() throws IOException {
+            listener.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/loomreel/net/ServeTest.java
@@ -0,0 +1,282 @@
+package loomreel.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** The real program, met as clients, copy workers and discovery meet it. */
+@Timeout(120)
+class ServeTest {
+    @Test
+    void aJobGoesOutUnchangedAndItsResultComesBack() throws Exception {
+        try (RealProgram program = new RealProgram(1, false)) {
+            assertEquals(200, program.request("GET /health/ready HTTP/1.1\r\nHost: x\r\n", "").status());
+            RealProgram.Job job = program.job("/copy/page?n=1", "the body");
+            Http.Message post = program.workers.get(0).next();
+            assertEquals("POST /copy/page?n=1 HTTP/1.1", post.first());
+            assertEquals("the body", post.body());
+            assertEquals(job.id(), post.header("X-Call-Id"));
+            int budget = Integer.parseInt(post.header("X-Budget-Ms"));
+            assertTrue(budget > 0 && budget <= 20_000, "budget " + budget);
+            post.answer(202, "");
+            assertEquals(200, program.news(job.id(), "w0", "running", ",\"share\":0.4"));
+            assertEquals(200, program.news(job.id(), "w0", "done", ",\"result\":\"r\\u00e9sultat\""));
+            Http.Message answer = job.answer();
+            assertEquals(200, answer.status());
+            assertEquals("résultat", answer.body());
+        }
+    }
+
+    /** A call-back may overtake the 202, come again, or name a job that nobody knows (any more). */
+    @Test
+    void newsIsActedOnOnceAndAlwaysAnswered() throws Exception {
+        try (RealProgram program = new RealProgram(1, false)) {
+            RealProgram.Job first = program.job("/copy", "");
+            Http.Message post = program.workers.get(0).next();
+            assertEquals(200, program.news(first.id(), "w7", "done", ",\"result\":\"not from there\""));
+            assertEquals(200, program.news(first.id(), "w0", "done", ",\"result\":\"early\""));
+            assertEquals("early", first.answer().body());
+            post.answer(202, "");
+            assertEquals(200, program.news(first.id(), "w0", "done", ",\"result\":\"again\""));
+            assertEquals(200, program.news("00000000000000ff", "w0", "failed", ""));
+            assertEquals(400, program.request("POST /_jobs/news HTTP/1.1\r\nHost: x\r\n", "[1").status());
+            RealProgram.Job second = program.job(first.socket(), "/copy", 20_000, "");
+            Http.Message next = program.workers.get(0).next();
+            assertSame(post.from(), next.from(), "the connection is used again");
+            next.answer(202, "");
+            program.news(second.id(), "w0", "done", ",\"result\":\"second\"");
+            assertEquals("second", second.answer().body());
+        }
+    }
+
+    /** What may have run must not run again where the class forbids it; what was turned away goes elsewhere. */
+    @ParameterizedTest
+    @CsvSource({"issue,reset,500", "issue,500,500", "issue,lost,500", "issue,turned away,200", "issue,returned,200",
+        "copy,reset,200", "copy,500,200", "copy,lost,200", "copy,garbage,200"})
+    void anotherAttemptIsMadeAsClassAndOutcomeAllow(String requestClass, String outcome, int status) throws Exception {
+        try (RealProgram program = new RealProgram(2, false)) {
+            RealProgram.Job job = program.job("/" + requestClass, "b");
+            int at = asked(program);
+            Http.Message post = program.workers.get(at).next();
+            switch (outcome) {
+                case "reset" -> post.from().close();
+                case "500" -> post.answer(500, "");
+                case "turned away" -> post.answer(503, "", "X-Rejected: 1");
+                case "garbage" -> Http.write(post.from(), "\0\1 what?\r\n\r\n");
+                default -> {
+                    post.answer(202, "");
+                    program.news(job.id(), "w" + at, outcome, "");
+                }
+            }
+            if (status == 200) {
+                program.serve(1 - at, "elsewhere");
+            }
+            assertEquals(status, job.answer().status());
+            assertFalse(program.workers.get(0).wasAsked() || program.workers.get(1).wasAsked());
+        }
+    }
+
+    private static int asked(RealProgram program) throws InterruptedException {
+        while (true) {
+            for (int i = 0; i < program.workers.size(); i++) {
+                if (program.workers.get(i).wasAsked()) {
+                    return i;
+                }
+            }
+            Thread.sleep(1);
+        }
+    }
+
+    @Test
+    void aCopyWorkerThatCannotBeReachedIsPassedOver() throws Exception {
+        try (RealProgram program = new RealProgram(2, false)) {
+            program.workers.get(0).close();
+            for (int i = 0; i < 6; i++) {
+                RealProgram.Job job = program.job("/issue", "");
+                program.serve(1, "there");
+                assertEquals("there", job.answer().body());
+            }
+        }
+    }
+
+    /** A machine that says nothing costs the client its own deadline and no more. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aSilentCopyWorkerCostsNoMoreThanTheDeadline(boolean accepts) throws Exception {
+        try (RealProgram program = new RealProgram(1, false)) {
+            RealProgram.Job job = program.job(program.connect(), "/copy", 2000, "");
+            Http.Message post = program.workers.get(0).next();
+            if (accepts) {
+                post.answer(202, "");
+            }
+            assertEquals(500, job.answer().status());
+            RealProgram.Job late = program.job(job.socket(), "/copy", 1, "");
+            assertNotEquals(200, late.answer().status());
+        }
+    }
+
+    @Test
+    void aClientThatLeavesEndsItsJob() throws Exception {
+        try (RealProgram program = new RealProgram(1, false)) {
+            RealProgram.Job job = program.job("/copy", "");
+            program.workers.get(0).next().answer(202, "");
+            // Only after a call-back of its own is it sure that the 202 has been read.
+            program.news(job.id(), "w0", "running", ",\"share\":0.1");
+            job.socket().close();
+            assertEquals("DELETE /jobs/" + job.id() + " HTTP/1.1", program.workers.get(0).next().first());
+        }
+    }
+
+    @Test
+    void bodiesComeWholeHoweverTheyAreCut() throws Exception {
+        try (RealProgram program = new RealProgram(1, false); Socket socket = program.connect()) {
+            String request = "POST /copy HTTP/1.1\r\nHost: x\r\nX-Call-Id: 00000000000000aa\r\nX-Budget-Ms: 20000\r\n"
+                    + "Transfer-Encoding: chunked\r\n\r\n3;x=y\r\nabc\r\n0a\r\n0123456789\r\n0\r\nT: v\r\n\r\n";
+            socket.setTcpNoDelay(true);
+            for (char c : request.toCharArray()) {
+                Http.write(socket, String.valueOf(c));
+            }
+            Http.Message post = program.workers.get(0).next();
+            assertEquals("abc0123456789", post.body());
+            String large = "x".repeat(64 * 1024);
+            RealProgram.Job job = program.job("/copy", large);
+            assertEquals(large, program.workers.get(0).next().body());
+            program.news(job.id(), "w0", "done", ",\"result\":\"" + large.substring(100) + "\"");
+            assertEquals(large.substring(100), job.answer().body());
+        }
+    }
+
+    /** Nobody can end the process or get an answer of another kind by what they send. */
+    @Test
+    void badInputIsAnsweredAsSuch() throws Exception {
+        String job = "POST /copy HTTP/1.1\r\nHost: x\r\n";
+        String id = "X-Call-Id: 00000000000000bb\r\n";
+        String budget = "X-Budget-Ms: 900\r\n";
+        String[][] cases = {
+            {"400", "hello\r\n\r\n"}, {"400", "GET /health/ready HTTP/1.1\r\nno colon\r\n\r\n"},
+            {"400", "GET /health/ready HTTP/1.1\n\n"}, {"505", "GET /health/ready HTTP/2.0\r\n\r\n"},
+            {"404", "GET /nowhere HTTP/1.1\r\n\r\n"}, {"404", "POST /copies HTTP/1.1\r\n" + id + budget + "\r\n"},
+            {"405", "GET /copy HTTP/1.1\r\n\r\n"}, {"405", "POST /health/ready HTTP/1.1\r\n\r\n"},
+            {"405", "GET /_jobs/news HTTP/1.1\r\n\r\n"}, {"400", job + budget + "\r\n"}, {"400", job + id + "\r\n"},
+            {"400", job + budget + "X-Call-Id: nothex\r\n\r\n"}, {"400", job + id + "X-Budget-Ms: -5\r\n\r\n"},
+            {"400", job + id + "X-Budget-Ms: 1.5\r\n\r\n"}, {"400", job + id + budget + "Content-Length: two\r\n\r\n"},
+            {"400", job + id + budget + "Content-Length: 1\r\nContent-Length: 2\r\n\r\n"},
+            {"400", job + id + budget + "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n"},
+            {"400", job + id + budget + "Transfer-Encoding: chunked\r\n\r\nzz\r\n"},
+            {"501", job + id + budget + "Transfer-Encoding: gzip\r\n\r\n"},
+            {"413", job + id + budget + "Content-Length: 65537\r\n\r\n"},
+            {"413", job + id + budget + "Transfer-Encoding: chunked\r\n\r\n10001\r\n"},
+            {"431", job + "X-Long: " + "y".repeat(9000) + "\r\n\r\n"}};
+        try (RealProgram program = new RealProgram(1, false)) {
+            for (String[] c : cases) {
+                try (Socket socket = program.connect()) {
+                    Http.write(socket, c[1]);
+                    assertEquals(Integer.parseInt(c[0]), Http.read(socket).status(), c[1]);
+                }
+            }
+            assertEquals(200, program.request("GET /health/ready HTTP/1.1\r\nHost: x\r\n", "").status());
+            assertFalse(program.workers.get(0).wasAsked());
+        }
+    }
+
+    @Test
+    void theListIsWatchedAndADrainingCopyWorkerGetsNothingNew() throws Exception {
+        try (RealProgram program = new RealProgram(2, false)) {
+            Http.Message watch = program.discovery.next();
+            assertTrue(watch.first().startsWith("GET /registry/instances?from=41&hold_ms="), watch.first());
+            watch.answer(200, program.list(43, false, "DRAINING", "SERVING"));
+            Http.Message next = program.discovery.next();
+            assertTrue(next.first().contains("from=43&"), next.first());
+            assertSame(watch.from(), next.from());
+            for (int i = 0; i < 8; i++) {
+                RealProgram.Job job = program.job("/copy", "");
+                program.serve(1, "kept");
+                assertEquals("kept", job.answer().body());
+            }
+            assertFalse(program.workers.get(0).wasAsked());
+        }
+    }
+
+    /** Discovery may fail, talk nonsense or fall silent: the list that is held stays good, and it is asked again. */
+    @ParameterizedTest
+    @ValueSource(strings = {"503", "nonsense", "closed"})
+    void aLostWatchIsStartedAgain(String how) throws Exception {
+        try (RealProgram program = new RealProgram(1, false)) {
+            Http.Message watch = program.discovery.next();
+            switch (how) {
+                case "503" -> watch.answer(503, "");
+                case "nonsense" -> watch.answer(200, "{\"seq\":44,\"whole\":true,\"hosts\":[{}]}");
+                default -> watch.from().close();
+            }
+            assertTrue(program.discovery.next().first().contains("from=41&"));
+            RealProgram.Job job = program.job("/copy", "");
+            program.serve(0, "held");
+            assertEquals("held", job.answer().body());
+        }
+    }
+
+    @Test
+    void loadIsAskedForWhereProbesAreAllowed() throws Exception {
+        try (RealProgram program = new RealProgram(1, true)) {
+            RealProgram.Job job = program.job("/copy", "");
+            Http.Message probe = program.workers.get(0).next();
+            assertEquals("GET /stats HTTP/1.1", probe.first());
+            probe.answer(200, "TEXT inflight=1, queue=0, x0=3");
+            program.serve(0, "served");
+            assertEquals("served", job.answer().body());
+        }
+    }
+
+    /** A planned restart loses nothing: what is taken is served, and for a while more is taken. */
+    @Test
+    void aStopServesWhatWasTakenAndThenEnds() throws Exception {
+        try (RealProgram program = new RealProgram(1, false)) {
+            Socket idle = program.connect();
+            RealProgram.Job before = program.job("/copy", "");
+            Http.Message first = program.workers.get(0).next();
+            program.process.toHandle().destroy();
+            program.awaitLog("draining");
+            RealProgram.Job after = program.job("/copy", "");
+            Http.Message second = program.workers.get(0).next();
+            assertNull(Http.read(idle), "idle connections are closed");
+            for (Http.Message post : new Http.Message[] {first, second}) {
+                post.answer(202, "");
+                assertEquals(200, program.news(post.header("X-Call-Id"), "w0", "done", ",\"result\":\"kept\""));
+            }
+            for (RealProgram.Job job : new RealProgram.Job[] {before, after}) {
+                Http.Message answer = job.answer();
+                assertEquals("kept", answer.body());
+                assertEquals("close", answer.header("Connection"));
+            }
+            assertTrue(program.process.waitFor(Http.PATIENCE_MS, TimeUnit.MILLISECONDS));
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"", "{", "{}", "{\"listen\":\"nowhere\",\"discovery\":\"127.0.0.1:1\",\"seed\":\"1\"}"})
+    void aBadConfigurationIsNamedInOneLine(String config) throws Exception {
+        Path file = Files.createTempFile("loomreel", ".json");
+        Files.writeString(file, config);
+        for (String command : new String[] {"serve", "check-config"}) {
+            Process process = RealProgram.start(file, command);
+            String said = new String(process.getErrorStream().readAllBytes());
+            assertEquals(2, process.waitFor(), said);
+            assertEquals(1, said.lines().count(), said);
+            assertTrue(said.startsWith("loomreel: " + file), said);
+        }
+        Files.delete(file);
+    }
+}
