Handle SIGHUP: read the configuration again and move the watch at once

Ruled out: the drain itself (it served all it had) and the descriptors (85 of 384). Now SIGHUP has the file read again on the loop's thread; its discovery wins over the start's BALANCER_DISCOVERY; the old watch is abandoned and the whole list is asked of the new address, as its versions may differ. A bad file changes nothing. The wait after a lost watch is at most 6 s (it grew to 12 s and never shrank again), so that it fits the 4 + 3 s that a new address has.

--- a/src/main/java/loomreel/cli/Serve.java
+++ b/src/main/java/loomreel/cli/Serve.java
@@ -7,9 +7,11 @@
 import loomreel.config.ServeConfig;
 import loomreel.net.Server;
 import picocli.CommandLine.Command;
+import sun.misc.Signal;
 
 /** The real dispatcher, in the foreground. */
-@Command(name = "serve", description = "Serves until SIGTERM, then until empty. Configured by BALANCER_CONFIG.")
+@Command(name = "serve", description = "Serves until SIGTERM, then until empty. Configured by "
+        + "BALANCER_CONFIG, which SIGHUP has read again.")
 final class Serve implements Callable<Integer> {
     @Override
     public Integer call() {
@@ -23,6 +25,8 @@
             System.err.println("loomreel: cannot listen: " + e.getMessage());
             return 1;
         }
+        // Left to itself the JVM ends on SIGHUP as it does on SIGTERM.
+        Signal.handle(new Signal("HUP"), signal -> server.reload(System.getenv()));
         CountDownLatch done = new CountDownLatch(1);
         // The JVM ends when its hooks have ended: this one holds it until all that was taken is served.
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
--- a/src/main/java/loomreel/config/ServeConfig.java
+++ b/src/main/java/loomreel/config/ServeConfig.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.HashMap;
 import java.util.Map;
 import loomreel.decision.Model;
 
@@ -58,6 +59,27 @@
         }
     }
 
+    /**
+     * Reads the configuration again while the program runs. {@code BALANCER_DISCOVERY} says where discovery was at the
+     * start; what the file names now is newer, and stands above it.
+     *
+     * @param env the environment
+     * @throws ConfigException if something is missing or does not fit
+     */
+    public static ServeConfig reread(Map<String, String> env) throws ConfigException {
+        Map<String, String> others = new HashMap<>(env);
+        others.remove("BALANCER_DISCOVERY");
+        return read(others);
+    }
+
+    /** Whether another configuration is the same but for what may change while the program runs, or always does. */
+    public boolean restartsAs(ServeConfig other) {
+        return name.equals(other.name) && listen.equals(other.listen) && sockets == other.sockets
+                && memory == other.memory && settings.equals(other.settings)
+                && connectWithin == other.connectWithin && idleFor == other.idleFor
+                && answerSlack == other.answerSlack;
+    }
+
     private static String text(Map<String, String> env, String variable, Object root, String field) {
         String value = env.get("BALANCER_" + variable);
         if (value == null || value.isEmpty()) {
--- a/src/main/java/loomreel/decision/Brain.java
+++ b/src/main/java/loomreel/decision/Brain.java
@@ -125,7 +125,7 @@
     private void ask(boolean failed) {
         if (settings.mustAsk()) {
             long most = settings.rules().askWithin() * 6 / 10;
-            book.askBackoff = failed ? Math.min(2 * book.askBackoff + most / 4, 2 * most) : 0;
+            book.askBackoff = failed ? Math.min(2 * book.askBackoff + most / 4, most) : 0;
             long half = book.askBackoff / 2;
             actions.add(new Timer(now + half + random.nextLong(1 + (failed ? half : most)), ASK));
         }
@@ -140,6 +140,7 @@
             }
             w.entry = entry;
         }
+        book.askBackoff = 0;
         book.workers.values().removeIf(w -> w.entry.state() == State.GONE);
         book.rebuild();
     }
--- a/src/main/java/loomreel/net/Dispatcher.java
+++ b/src/main/java/loomreel/net/Dispatcher.java
@@ -1,5 +1,6 @@
 package loomreel.net;
 
+import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -135,6 +136,11 @@
         tell(new Model.Probed(worker, outcome, loop.now() - sentAt, report));
     }
 
+    /** Discovery is at another address from now on. */
+    void moveDiscovery(InetSocketAddress address) {
+        resolver.moveTo(address);
+    }
+
     @Override
     public void lost() {
         tell(new Model.ListLost());
--- a/src/main/java/loomreel/net/Resolver.java
+++ b/src/main/java/loomreel/net/Resolver.java
@@ -1,6 +1,7 @@
 package loomreel.net;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import loomreel.config.JsonTree;
 import loomreel.config.ResolverResult;
 import loomreel.decision.Model.Outcome;
@@ -25,12 +26,17 @@
     /** How long after the hold an answer is waited for: less than the 2 s after which news counts as told. */
     private static final long GRACE = 1_500_000;
 
+    /** No version: the whole list is asked for. */
+    private static final long NONE = -1;
+
     private final EventLoop loop;
     private final Peer discovery;
     private final Listener listener;
     private final BoundedLog log = new BoundedLog("loomreel.net.resolver");
     private long seq;
     private boolean calling;
+    /** What carries the call that is out. */
+    private PeerConnection connection;
 
     /**
      * A resolver that does not watch yet.
@@ -48,11 +54,30 @@
     void watch() {
         if (!calling) {
             calling = true;
+            boolean whole = seq == NONE;
             Bytes request = new Bytes(loop.pool);
-            request.append(Heads.request("GET", "/registry/instances?from=" + seq + "&hold_ms=" + HOLD / 1000,
+            request.append(Heads.request("GET",
+                    "/registry/instances" + (whole ? "" : "?from=" + seq + "&hold_ms=" + HOLD / 1000),
                     discovery.address().getHostString() + ":" + discovery.address().getPort(), 0));
-            discovery.call(request, new Call(loop.now() + HOLD + GRACE));
+            PeerConnection carrier = discovery.call(request, new Call(loop.now() + (whole ? 0 : HOLD) + GRACE));
+            // It may have failed on the spot.
+            connection = calling ? carrier : null;
+        }
+    }
+
+    /**
+     * Goes on at another address, at once: what is out at the old one is given up, for what the new one tells counts
+     * as told 4 s later. Versions may be counted differently there, so the whole list is asked for first.
+     */
+    void moveTo(InetSocketAddress address) {
+        if (connection != null) {
+            connection.abandon();
+            connection = null;
         }
+        discovery.renew(address);
+        calling = false;
+        seq = NONE;
+        watch();
     }
 
     private record Answer(ResolverResult result, String fault) { }
@@ -82,7 +107,7 @@
 
         @Override
         public void answered(Message message) {
-            calling = false;
+            end();
             Answer answer = read(message);
             if (answer.result() == null) {
                 lost(answer.fault());
@@ -98,10 +123,15 @@
 
         @Override
         public void broken(Outcome outcome) {
-            calling = false;
+            end();
             lost(outcome.toString());
         }
 
+        private void end() {
+            calling = false;
+            connection = null;
+        }
+
         private void lost(String why) {
             log.warn("the watch on " + discovery + " is lost: " + why);
             listener.lost();
--- a/src/main/java/loomreel/net/Server.java
+++ b/src/main/java/loomreel/net/Server.java
@@ -11,6 +11,7 @@
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
+import loomreel.config.ConfigException;
 import loomreel.config.ServeConfig;
 import loomreel.decision.Model;
 import loomreel.http.BufferPool;
@@ -35,6 +36,7 @@
     final Map<String, Integer> tenants = new HashMap<>();
     final Dispatcher dispatcher;
     final BoundedLog log = new BoundedLog("loomreel.net.server");
+    private final ServeConfig config;
     private final EventLoop loop;
     private final ServerSocketChannel listener;
     private final SelectionKey key;
@@ -53,6 +55,7 @@
      * @throws IOException if it cannot be had
      */
     public Server(ServeConfig config) throws IOException {
+        this.config = config;
         loop = new EventLoop(new BufferPool((int) (config.memory() / 16 / BufferPool.SIZE)));
         for (Model.RequestClass c : config.settings().classes()) {
             classes.put(c.name(), classes.size());
@@ -96,6 +99,27 @@
         });
     }
 
+    /**
+     * Reads the configuration again, on the loop's thread. Discovery's address is taken over; what else has changed
+     * holds from the next start on. A file that is no good changes nothing. Any thread may call this.
+     *
+     * @param env the environment
+     */
+    public void reload(Map<String, String> env) {
+        loop.post(() -> {
+            ServeConfig next;
+            try {
+                next = ServeConfig.reread(env);
+            } catch (ConfigException e) {
+                log.warn("the new configuration is no good, the old one stays: " + e.getMessage());
+                return;
+            }
+            log.info("configuration read again: discovery at " + next.discovery()
+                    + (next.restartsAs(config) ? "" : "; the other changes wait for the next start"));
+            dispatcher.moveDiscovery(next.discovery());
+        });
+    }
+
     private void leaveWhenEmpty() {
         if (dispatcher.isEmpty() && clients.stream().noneMatch(ClientConnection::owes)) {
             loop.stop();
--- a/src/test/java/loomreel/net/RealProgram.java
+++ b/src/test/java/loomreel/net/RealProgram.java
@@ -1,12 +1,13 @@
 package loomreel.net;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
 import java.util.function.UnaryOperator;
 import java.util.regex.Matcher;
@@ -24,11 +25,12 @@
               "FallS":2,"AnswerSlackS":0.016}}""";
     private static int ids;
 
-    final Http.Peer discovery = new Http.Peer();
+    Http.Peer discovery = new Http.Peer();
     final List<Http.Peer> workers = new ArrayList<>();
     final Process process;
     private final BufferedReader log;
     private final int port;
+    private final Path file = Files.createTempFile("loomreel", ".json");
 
     RealProgram(int workerCount, boolean probing) throws IOException {
         this(workerCount, probing, settings -> settings);
@@ -38,26 +40,40 @@
         for (int i = 0; i < workerCount; i++) {
             workers.add(new Http.Peer());
         }
-        Path file = Files.createTempFile("loomreel", ".json");
         Files.writeString(file, change.apply("{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"" + discovery.address()
                 + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},"
                 + "\"known\":" + list(41, true, "SERVING") + ",\"settings\":"
                 + String.format(SETTINGS, probing, probing ? "probe" : "none") + "}"));
-        process = start(file, "serve");
+        process = start(file, "serve", discovery.address());
         log = process.errorReader();
         Matcher listens = Pattern.compile("listens on /127.0.0.1:(\\d+)").matcher(awaitLog("listens on"));
         listens.find();
         port = Integer.parseInt(listens.group(1));
-        Files.delete(file);
     }
 
-    static Process start(Path config, String... command) throws IOException {
-        List<String> line = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), "loomreel.cli.Main"));
-        line.addAll(Arrays.asList(command));
-        ProcessBuilder builder = new ProcessBuilder(line);
+    /** Replaces discovery by another one that the configuration now names, and says so to the program. */
+    Http.Peer moveDiscovery() throws Exception {
+        Http.Peer before = discovery;
+        discovery = new Http.Peer();
+        configure(Files.readString(file).replace(before.address(), discovery.address()));
+        signal("HUP");
+        return before;
+    }
+
+    void configure(String text) throws IOException {
+        Files.writeString(file, text);
+    }
+
+    void signal(String name) throws Exception {
+        assertEquals(0, new ProcessBuilder("sh", "-c", "kill -" + name + " " + process.pid()).start().waitFor());
+    }
+
+    static Process start(Path config, String command, String discovery) throws IOException {
+        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), "loomreel.cli.Main", command);
         builder.environment().keySet().removeIf(name -> name.startsWith("BALANCER_"));
         builder.environment().put("BALANCER_CONFIG", config.toString());
+        builder.environment().put("BALANCER_DISCOVERY", discovery);
         return builder.start();
     }
 
@@ -130,6 +146,7 @@
     @Override
     public void close() throws IOException {
         process.destroyForcibly().onExit().join();
+        Files.delete(file);
         discovery.close();
         for (Http.Peer worker : workers) {
             worker.close();
--- a/src/test/java/loomreel/net/ServeTest.java
+++ b/src/test/java/loomreel/net/ServeTest.java
@@ -295,6 +295,48 @@
         }
     }
 
+    /** A JVM left to itself ends on SIGHUP. The file's discovery is the newer one, and it may count its versions anew. */
+    @Test
+    void aNewConfigurationMovesTheWatchAtOnce() throws Exception {
+        try (RealProgram program = new RealProgram(2, false)) {
+            RealProgram.Job job = program.job("/copy", "");
+            Http.Message old = program.discovery.next();
+            for (int seq : new int[] {7, 3}) {
+                try (Http.Peer before = program.moveDiscovery()) {
+                    before.awaitEnd(old.from());
+                    Http.Message whole = program.discovery.next();
+                    assertEquals("GET /registry/instances HTTP/1.1", whole.first());
+                    whole.answer(200, program.list(seq, true, seq == 7 ? "SERVING" : "DRAINING", "SERVING"));
+                    old = program.discovery.next();
+                    assertTrue(old.first().contains("?from=" + seq + "&"), old.first());
+                    assertFalse(before.wasAsked());
+                }
+            }
+            program.workers.get(asked(program)).next().from().close();
+            program.serve(1, "kept");
+            assertEquals("kept", job.answer().body());
+            program.signal("HUP");
+            program.signal("TERM");
+            assertTrue(program.process.waitFor(Http.PATIENCE_MS, TimeUnit.MILLISECONDS));
+            assertEquals(143, program.process.exitValue());
+        }
+    }
+
+    @Test
+    void aBadNewConfigurationChangesNothing() throws Exception {
+        try (RealProgram program = new RealProgram(1, false)) {
+            Http.Message watch = program.discovery.next();
+            program.configure("{\"name\":");
+            program.signal("HUP");
+            assertTrue(program.awaitLog("no good").contains("the old one stays"));
+            watch.answer(200, program.list(42, true, "SERVING"));
+            assertTrue(program.discovery.next().first().contains("?from=42&"));
+            RealProgram.Job job = program.job("/copy", "");
+            program.serve(0, "as before");
+            assertEquals("as before", job.answer().body());
+        }
+    }
+
     /** Clients may fill their part of the descriptors; news still comes in, or no job would ever end. */
     @Test
     void clientsThatTakeAllTheRoomDoNotShutTheNewsOut() throws Exception {
@@ -356,7 +398,7 @@
         Path file = Files.createTempFile("loomreel", ".json");
         Files.writeString(file, config);
         for (String command : new String[] {"serve", "check-config"}) {
-            Process process = RealProgram.start(file, command);
+            Process process = RealProgram.start(file, command, "");
             String said = new String(process.getErrorStream().readAllBytes());
             assertEquals(2, process.waitFor(), said);
             assertEquals(1, said.lines().count(), said);
