Close silent connections in 2 s and before any other when room is short

Ruled out: memory (52 of 192 MB), CPU (0.45 s in the worst second) and the module (nothing reached it). Now the first request has 2 s from accept; when room is short the oldest connection goes that brought neither job nor news, after 150 ms in which its request may be unread; jobs may hold 3/4 of what comes in, so news always finds room; wrong requests are read at most ten times a second on a connection; what comes after a last answer is thrown away up to 256 KB and then not read. A drain goes on as before for 2 s, since the other dispatcher may be down as well, and what is not done 0.25 s before SIGKILL is answered.

--- a/src/main/java/loomreel/net/ClientConnection.java
+++ b/src/main/java/loomreel/net/ClientConnection.java
@@ -15,12 +15,17 @@
 
 /** A connection that came in: from a client with jobs, from a copy worker with news, or from the front. */
 final class ClientConnection extends Connection implements Rpc.Caller {
-    /** How long a request may take to come in, an answer to go out, or the other side to close after it. */
-    private static final long PATIENCE = 10_000_000;
+    /**
+     * How long the first request may take to come in, counted from the connection's start, so that whoever sends byte
+     * by byte gains nothing; and each further one, an answer, or the other side's close after the last answer.
+     */
+    private static final long PATIENCE = 2_000_000;
+    /** Whoever repeats at once what was wrong is read no more often than this. */
+    private static final long PAUSE = 100_000;
+    /** What a client may still send after its last answer; then it is read no more, which costs nothing. */
+    private static final int DISCARD_MOST = 256 * 1024;
 
     private final Server server;
-    /** Whether it may only bring news: there are too many connections for another job. */
-    private final boolean newsOnly;
     /** The job that it waits for. */
     private Rpc rpc;
     /** What has come behind a request that is not answered yet. */
@@ -29,13 +34,16 @@
     private boolean lastAnswer;
     /** Our side is closed; what still comes is thrown away until the other side closes too. */
     private boolean leaving;
+    private int discarded;
+    /** Whether the last answer said that the request was wrong. */
+    private boolean wrong;
     private EventLoop.Timer timer;
 
-    ClientConnection(EventLoop loop, SocketChannel channel, Server server, boolean newsOnly) throws IOException {
+    ClientConnection(EventLoop loop, SocketChannel channel, Server server) throws IOException {
         super(loop, channel, true, true);
         this.server = server;
-        this.newsOnly = newsOnly;
         ahead = new Bytes(loop.pool);
+        within();
     }
 
     /** Whether something of an answer is owed or under way. */
@@ -51,12 +59,13 @@
     @Override
     void take(ByteBuffer in) {
         if (leaving) {
+            discarded += in.remaining();
+            pauseReading(discarded > DISCARD_MOST);
             return;
         }
         if (!owes()) {
-            boolean fresh = parser.atStart();
             super.take(in);
-            if (fresh && !isClosed() && !owes() && !leaving && !parser.atStart()) {
+            if (timer == null && !isClosed() && !owes() && !leaving && !parser.atStart()) {
                 server.busy(this);
                 within();
             }
@@ -77,7 +86,7 @@
     private void within() {
         stopTimer();
         timer = loop.at(loop.now() + PATIENCE, () -> {
-            if (!owes() && !leaving) {
+            if (!owes() && !leaving && !parser.atStart()) {
                 refuse(408);
             } else {
                 close();
@@ -110,7 +119,7 @@
             answer(405, new byte[0], "Allow: POST");
         } else if (path.equals("/_jobs/news")) {
             news(message.body().toArray());
-        } else if (newsOnly) {
+        } else if (!server.dispatcher.hasRoom()) {
             lastAnswer = true;
             refused(new UnavailableStatus(Server.COME_BACK));
         } else {
@@ -134,6 +143,7 @@
             answer(400, new byte[0], null);
             return;
         }
+        server.known(this);
         String caller = message.header("x-caller");
         String cost = message.header("x-call-cost");
         long due = loop.now() + 1000 * Long.parseLong(budget);
@@ -178,6 +188,7 @@
             answer(400, new byte[0], null);
             return;
         }
+        server.known(this);
         // Answered first: a copy worker repeats what is not answered, and the rest may take a while.
         answer(200, new byte[0], null);
         byte[] result = news.get("result") instanceof String text ? text.getBytes(StandardCharsets.UTF_8) : new byte[0];
@@ -203,7 +214,8 @@
     private void answer(int status, byte[] body, String header) {
         rpc = null;
         answering = true;
-        lastAnswer |= server.isDraining();
+        wrong = status >= 400 && status < 500;
+        lastAnswer |= server.isClosing();
         String[] close = lastAnswer ? new String[] {"Connection: close"} : new String[0];
         String[] headers = header == null ? close
                 : lastAnswer ? new String[] {header, close[0]} : new String[] {header};
@@ -231,12 +243,20 @@
         if (!answering) {
             return;
         }
-        answering = false;
         stopTimer();
         if (lastAnswer) {
+            answering = false;
             leave();
-            return;
+        } else if (wrong) {
+            timer = loop.at(loop.now() + PAUSE, this::next);
+        } else {
+            next();
         }
+    }
+
+    private void next() {
+        timer = null;
+        answering = false;
         server.idle(this);
         if (ahead.length() > 0) {
             byte[] next = ahead.toArray();
@@ -250,6 +270,7 @@
     /** Closing at once would reset the connection if anything has come unread, and the answer could be lost. */
     private void leave() {
         leaving = true;
+        server.leaving(this);
         try {
             channel.shutdownOutput();
         } catch (IOException e) {
--- a/src/main/java/loomreel/net/Connection.java
+++ b/src/main/java/loomreel/net/Connection.java
@@ -18,6 +18,7 @@
     final Bytes out;
     private final SelectionKey key;
     private boolean up;
+    private boolean paused;
     private boolean closed;
 
     /**
@@ -118,7 +119,7 @@
             fail();
             return;
         }
-        key.interestOps(all ? SelectionKey.OP_READ : SelectionKey.OP_READ | SelectionKey.OP_WRITE);
+        key.interestOps((paused ? 0 : SelectionKey.OP_READ) | (all ? 0 : SelectionKey.OP_WRITE));
         if (all) {
             flushed();
         }
@@ -126,6 +127,7 @@
 
     /** Reads no more until told to; what must be written still is. */
     final void pauseReading(boolean pause) {
+        paused = pause;
         if (!closed) {
             key.interestOps(pause ? key.interestOps() & ~SelectionKey.OP_READ
                     : key.interestOps() | SelectionKey.OP_READ);
--- a/src/main/java/loomreel/net/Dispatcher.java
+++ b/src/main/java/loomreel/net/Dispatcher.java
@@ -33,6 +33,9 @@
     /** The module answers one event before it hears the next, also of what its own answer caused. */
     private final ArrayDeque<Event> events = new ArrayDeque<>();
     private final List<Model.Action> actions = new ArrayList<>();
+    private final int most;
+    /** When what is taken from now on has its answer at the latest. */
+    private long leaveBy = Long.MAX_VALUE;
     private boolean telling;
     private int taken;
     private int served;
@@ -42,8 +45,9 @@
     private int probes;
     private int probesLost;
 
-    /** A dispatcher that has not started; {@code sockets} are for calls that it makes. */
-    Dispatcher(EventLoop loop, ServeConfig config, int sockets) {
+    /** A dispatcher that has not started; {@code sockets} are for calls that it makes, {@code most} RPCs may be open. */
+    Dispatcher(EventLoop loop, ServeConfig config, int sockets, int most) {
+        this.most = most;
         this.loop = loop;
         this.config = config;
         descriptors = new Peer.Descriptors(sockets);
@@ -75,6 +79,11 @@
         return rpcs.values().stream().allMatch(Rpc::isOver);
     }
 
+    /** Whether another RPC may be taken. */
+    boolean hasRoom() {
+        return rpcs.size() < most;
+    }
+
     /** Whether an RPC of that id is on its way. */
     boolean holds(String id) {
         return rpcs.containsKey(id);
@@ -84,14 +93,23 @@
     void take(Rpc rpc, Model.Arrival arrival) {
         taken++;
         rpcs.put(rpc.id, rpc);
-        loop.at(rpc.deadline + config.answerSlack(), () -> overdue(rpc));
+        loop.at(Math.min(leaveBy, rpc.deadline + config.answerSlack()), () -> overdue(rpc));
         tell(arrival);
     }
 
-    /** The module answers before the deadline. Should it ever not, the client still gets an answer. */
+    /** What is taken from here on is answered by this time, done or not: the process will not live much longer. */
+    void leaveBy(long time) {
+        leaveBy = time;
+    }
+
+    /**
+     * The module answers before the deadline. Should it ever not, the client still gets an answer; so does one whose
+     * job would outlive the process.
+     */
     private void overdue(Rpc rpc) {
         if (!rpc.isOver()) {
-            log.warn("no decision on " + rpc.id + " by its deadline: failed");
+            log.warn((loop.now() >= leaveBy ? "not done before leaving: " : "no decision by its deadline: ") + rpc.id
+                    + " failed");
             failed++;
             rpc.fail();
             tell(new Model.Withdrawn(rpc.id));
--- a/src/main/java/loomreel/net/Server.java
+++ b/src/main/java/loomreel/net/Server.java
@@ -7,7 +7,7 @@
 import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
@@ -21,14 +21,21 @@
     /** What a client is told that there is no room for, in microseconds. */
     static final long COME_BACK = 500_000;
     /** Descriptors that are neither a client's nor a copy worker's: files, the selector, the listener, discovery. */
-    private static final int OTHER_DESCRIPTORS = 64;
-    /** The clients' part of the rest. Jobs wait for seconds on a client's connection, for a round trip on a worker's. */
-    private static final double CLIENTS = 0.6;
-    /** Connections above the clients' part that may only bring news, without which no job would ever end. */
-    private static final int NEWS_ONLY = 64;
-    /** New connections come for up to 0.4 s after a stop is asked for. */
-    private static final long ACCEPT_FOR = 500_000;
-    private static final long FRESH_FOR = 1_000_000;
+    private static final int OTHER_DESCRIPTORS = 32;
+    /** The copy workers' part of the rest: a job holds a connection to one for a round trip. */
+    private static final double CALLS = 0.25;
+    /** The part of what comes in that jobs may hold; news needs the rest, for without it no job would ever end. */
+    private static final double JOBS = 0.75;
+    /** A connection that has said nothing of use may have its first request unread for so long. */
+    private static final long FRESH_FOR = 150_000;
+    private static final int ACCEPT_AT_ONCE = 64;
+    /** After a stop is asked for, connections are used this much longer: another dispatcher may be down as well. */
+    private static final long STAY = 2_000_000;
+    /** A stop is cut short no earlier than this after the longest deadline, which counts as 3 s at most. */
+    private static final long KILLED_AFTER = 700_000;
+    private static final long LONGEST = 3_000_000;
+    /** What is left of that for the last answers to go out. */
+    private static final long LAST_ANSWERS = 250_000;
     private static final long LOOK_EVERY = 20_000;
     private static final long ACCEPT_AGAIN = 100_000;
 
@@ -40,14 +47,14 @@
     private final EventLoop loop;
     private final ServerSocketChannel listener;
     private final SelectionKey key;
-    private final int mostClients;
+    private final int most;
     private final Set<ClientConnection> clients = new LinkedHashSet<>();
+    /** Those that have brought neither a job nor news so far, or are leaving, and since when; the oldest first. */
+    private final Map<ClientConnection, Long> strangers = new LinkedHashMap<>();
     /** Those without a request, the longest idle first. */
     private final Set<ClientConnection> idle = new LinkedHashSet<>();
-    /** Those accepted a moment ago. */
-    private final Set<ClientConnection> fresh = new HashSet<>();
-    private boolean draining;
-    private boolean idleClosed;
+    private boolean paused;
+    private boolean closing;
 
     /**
      * Opens the port.
@@ -63,9 +70,10 @@
         for (Model.Tenant t : config.settings().tenants()) {
             tenants.put(t.name(), tenants.size());
         }
-        int sockets = Math.max(16, config.sockets() - OTHER_DESCRIPTORS - NEWS_ONLY);
-        mostClients = (int) (sockets * CLIENTS);
-        dispatcher = new Dispatcher(loop, config, sockets - mostClients);
+        int sockets = Math.max(16, config.sockets() - OTHER_DESCRIPTORS);
+        int calls = (int) (sockets * CALLS);
+        most = sockets - calls;
+        dispatcher = new Dispatcher(loop, config, calls, (int) (most * JOBS));
         listener = ServerSocketChannel.open();
         listener.setOption(StandardSocketOptions.SO_REUSEADDR, true);
         listener.configureBlocking(false);
@@ -86,13 +94,18 @@
         log.info("empty, leaving");
     }
 
-    /** Lets go: what is taken is served, new connections are taken for a while. Any thread may call this. */
+    /**
+     * Lets go: for a while all goes on as before, since clients keep to the connections that they have and there may
+     * be nowhere else to go; then what is taken is served, and what is not done by the end fails. Any thread may
+     * call this.
+     */
     public void drain() {
         loop.post(() -> {
             log.info("asked to stop: draining");
-            draining = true;
-            loop.at(loop.now() + ACCEPT_FOR, () -> {
-                idleClosed = true;
+            long longest = config.settings().classes().stream().mapToLong(Model.RequestClass::deadline).max().orElse(0);
+            dispatcher.leaveBy(loop.now() + Math.min(LONGEST, longest) + KILLED_AFTER - LAST_ANSWERS);
+            loop.at(loop.now() + Math.min(STAY, longest), () -> {
+                closing = true;
                 new ArrayList<>(idle).forEach(ClientConnection::close);
                 leaveWhenEmpty();
             });
@@ -128,56 +141,90 @@
         }
     }
 
-    boolean isDraining() {
-        return draining;
+    /** Whether every answer is the last one on its connection. */
+    boolean isClosing() {
+        return closing;
     }
 
     @Override
     public void ready(SelectionKey selected) {
         try {
-            for (SocketChannel channel = listener.accept(); channel != null; channel = listener.accept()) {
+            for (int i = 0; i < ACCEPT_AT_ONCE && !paused; i++) {
+                SocketChannel channel = listener.accept();
+                if (channel == null) {
+                    return;
+                }
                 accept(channel);
             }
         } catch (IOException e) {
             // The connection stays ready to be accepted: without a pause the loop would do nothing but fail at it.
             log.warn("cannot accept: " + e.getMessage());
-            key.interestOps(0);
-            loop.at(loop.now() + ACCEPT_AGAIN, () -> key.interestOps(SelectionKey.OP_ACCEPT));
+            pause(ACCEPT_AGAIN);
         }
     }
 
     private void accept(SocketChannel channel) throws IOException {
-        if (clients.size() >= mostClients && !idle.isEmpty()) {
-            idle.iterator().next().close();
-        }
         try {
             channel.configureBlocking(false);
             channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
-            ClientConnection connection = new ClientConnection(loop, channel, this, clients.size() >= mostClients);
+            ClientConnection connection = new ClientConnection(loop, channel, this);
             clients.add(connection);
-            // Its first request may be here already, unread: it is not idle until it has kept silent for a while.
-            fresh.add(connection);
-            loop.at(loop.now() + FRESH_FOR, () -> {
-                if (fresh.remove(connection)) {
-                    idle(connection);
-                }
-            });
+            strangers.put(connection, loop.now());
         } catch (IOException e) {
             channel.close();
         }
-        if (clients.size() >= mostClients + NEWS_ONLY) {
+        if (clients.size() >= most) {
+            makeRoom();
+        }
+    }
+
+    /**
+     * Closes the oldest connection that never said anything of use; failing that, the longest idle one. Whoever opens
+     * connections by the hundred must not push out those that bring jobs and news, nor a new one whose first
+     * request may be here, unread.
+     */
+    private void makeRoom() {
+        if (!strangers.isEmpty()) {
+            Map.Entry<ClientConnection, Long> oldest = strangers.entrySet().iterator().next();
+            long wait = oldest.getValue() + FRESH_FOR - loop.now();
+            if (wait <= 0) {
+                oldest.getKey().close();
+            } else {
+                pause(wait);
+            }
+        } else if (!idle.isEmpty()) {
+            idle.iterator().next().close();
+        } else {
             log.warn("no descriptor left for clients: accepting no more");
-            key.interestOps(0);
+            pause(ACCEPT_AGAIN);
         }
     }
 
+    private void pause(long pause) {
+        paused = true;
+        key.interestOps(0);
+        loop.at(loop.now() + pause, () -> {
+            paused = false;
+            key.interestOps(SelectionKey.OP_ACCEPT);
+        });
+    }
+
+    /** A connection has brought a job or news. */
+    void known(ClientConnection connection) {
+        strangers.remove(connection);
+    }
+
+    void leaving(ClientConnection connection) {
+        strangers.remove(connection);
+        strangers.put(connection, loop.now());
+    }
+
     void busy(ClientConnection connection) {
-        fresh.remove(connection);
         idle.remove(connection);
     }
 
     void idle(ClientConnection connection) {
-        if (idleClosed) {
+        if (closing) {
             connection.close();
         } else {
             idle.add(connection);
@@ -186,8 +233,7 @@
 
     void closed(ClientConnection connection) {
         clients.remove(connection);
-        fresh.remove(connection);
+        strangers.remove(connection);
         idle.remove(connection);
-        key.interestOps(SelectionKey.OP_ACCEPT);
     }
 }
