Keep few idle connections, so that clients which ask once and stay find room

With figures of connections in the log: 126 known connections at one of them, nearly all idle; clients hold a third of the descriptors (128) and each of the 1,500 connections asked once and stayed. Ruled out: refusals for want of room (0), connections closed for room (strangers only), CPU and memory. Server.idle kept every idle connection for good. Now an eighth of the descriptors may lie idle, the longest idle go. The figures of connections are logged every 10 s and at the end.

--- a/src/main/java/loomreel/net/ClientConnection.java
+++ b/src/main/java/loomreel/net/ClientConnection.java
@@ -86,6 +86,7 @@
     private void within() {
         stopTimer();
         timer = loop.at(loop.now() + PATIENCE, () -> {
+            server.tooLate();
             if (!owes() && !leaving && !parser.atStart()) {
                 refuse(408);
             } else {
@@ -119,7 +120,7 @@
             answer(405, new byte[0], "Allow: POST");
         } else if (path.equals("/_jobs/news")) {
             news(message.body().toArray());
-        } else if (!server.dispatcher.hasRoom()) {
+        } else if (!server.hasRoom()) {
             lastAnswer = true;
             refused(new UnavailableStatus(Server.COME_BACK));
         } else {
--- a/src/main/java/loomreel/net/Dispatcher.java
+++ b/src/main/java/loomreel/net/Dispatcher.java
@@ -16,7 +16,7 @@
 /** Tells the module what the sockets see and does on the sockets what it says. It decides nothing. */
 final class Dispatcher implements Resolver.Listener {
     private static final long SECOND = 1_000_000;
-    private static final long FIGURES_EVERY = 10 * SECOND;
+    static final long FIGURES_EVERY = 10 * SECOND;
     /** Our side of an idle connection ends at this share of the time after which the copy worker ends it. */
     private static final double IDLE_SHARE = 0.7;
 
--- a/src/main/java/loomreel/net/Server.java
+++ b/src/main/java/loomreel/net/Server.java
@@ -30,6 +30,11 @@
     private static final long FRESH_FOR = 100_000;
     /** The part of what comes in that is kept for connections that have brought something, while others crowd in. */
     private static final double KNOWN = 0.5;
+    /**
+     * The part of all descriptors that idle connections may hold. Clients may ask once on each and stay; they hold a
+     * third of the descriptors at most, and what they keep for nothing they lack for the next job.
+     */
+    private static final double IDLE = 1 / 8.0;
     /** Connections that wait in the system's queue; one that finds it full is tried again after a second. */
     private static final int BACKLOG = 4096;
     private static final int ACCEPT_AT_ONCE = 64;
@@ -52,11 +57,17 @@
     private final ServerSocketChannel listener;
     private final SelectionKey key;
     private final int most;
+    private final int mostIdle;
     private final Set<ClientConnection> clients = new LinkedHashSet<>();
     /** Those that have brought neither a job nor news so far, or are leaving, and since when; the oldest first. */
     private final Map<ClientConnection, Long> strangers = new LinkedHashMap<>();
     /** Those without a request, the longest idle first. */
     private final Set<ClientConnection> idle = new LinkedHashSet<>();
+    private int accepted;
+    private int strangersClosed;
+    private int idleClosed;
+    private int tooLate;
+    private int noRoom;
     private boolean paused;
     private boolean closing;
 
@@ -77,6 +88,7 @@
         int sockets = Math.max(16, config.sockets() - OTHER_DESCRIPTORS);
         int calls = (int) (sockets * CALLS);
         most = sockets - calls;
+        mostIdle = (int) Math.max(4, config.sockets() * IDLE);
         dispatcher = new Dispatcher(loop, config, calls, (int) (most * JOBS));
         listener = ServerSocketChannel.open();
         listener.setOption(StandardSocketOptions.SO_REUSEADDR, true);
@@ -94,8 +106,9 @@
      */
     public void run() throws IOException {
         dispatcher.start();
+        logFigures();
         loop.run();
-        log.info("empty, leaving; " + dispatcher.figures());
+        log.info("empty, leaving; " + dispatcher.figures() + "; " + figures());
     }
 
     /**
@@ -137,6 +150,29 @@
         });
     }
 
+    private void logFigures() {
+        log.info(figures());
+        loop.at(loop.now() + Dispatcher.FIGURES_EVERY, this::logFigures);
+    }
+
+    private String figures() {
+        return "connections " + clients.size() + ", of no use so far " + strangers.size() + ", idle " + idle.size()
+                + "; in all: accepted " + accepted + ", closed for room: of no use " + strangersClosed + ", idle "
+                + idleClosed + "; too slow " + tooLate + ", jobs without room " + noRoom;
+    }
+
+    /** A connection did not say what it had to say in time. */
+    void tooLate() {
+        tooLate++;
+    }
+
+    /** Whether another job may be taken. */
+    boolean hasRoom() {
+        boolean room = dispatcher.hasRoom();
+        noRoom += room ? 0 : 1;
+        return room;
+    }
+
     private void leaveWhenEmpty() {
         if (dispatcher.isEmpty() && clients.stream().noneMatch(ClientConnection::owes)) {
             loop.stop();
@@ -173,6 +209,7 @@
             channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
             ClientConnection connection = new ClientConnection(loop, channel, this);
             clients.add(connection);
+            accepted++;
             strangers.put(connection, loop.now());
         } catch (IOException e) {
             channel.close();
@@ -189,11 +226,12 @@
      */
     private void makeRoom() {
         if (!idle.isEmpty() && (strangers.isEmpty() || clients.size() - strangers.size() > most * KNOWN)) {
-            idle.iterator().next().close();
+            closeLongestIdle();
         } else if (!strangers.isEmpty()) {
             Map.Entry<ClientConnection, Long> oldest = strangers.entrySet().iterator().next();
             long wait = oldest.getValue() + FRESH_FOR - loop.now();
             if (wait <= 0) {
+                strangersClosed++;
                 oldest.getKey().close();
             } else {
                 pause(wait);
@@ -204,6 +242,11 @@
         }
     }
 
+    private void closeLongestIdle() {
+        idleClosed++;
+        idle.iterator().next().close();
+    }
+
     private void pause(long pause) {
         paused = true;
         key.interestOps(0);
@@ -232,6 +275,9 @@
             connection.close();
         } else {
             idle.add(connection);
+            if (idle.size() > mostIdle) {
+                closeLongestIdle();
+            }
         }
     }
 
--- a/src/test/java/loomreel/net/ServeTest.java
+++ b/src/test/java/loomreel/net/ServeTest.java
@@ -408,6 +408,24 @@
         }
     }
 
+    /** Clients may ask once on each connection and keep them all: the longest idle are closed, the last ones stay. */
+    @Test
+    void connectionsThatAskOnceAndStayAreNotKeptForLong() throws Exception {
+        try (RealProgram program = new RealProgram(1, false, c -> c.replace("\"sockets\":1024", "\"sockets\":64"))) {
+            List<RealProgram.Job> jobs = new ArrayList<>();
+            for (int i = 0; i < 10; i++) {
+                jobs.add(program.job("/copy", ""));
+                program.serve(0, "served");
+                assertEquals("served", jobs.get(i).answer().body());
+            }
+            assertNull(Http.read(jobs.get(0).socket()));
+            assertNull(Http.read(jobs.get(1).socket()));
+            RealProgram.Job next = program.job(jobs.get(5).socket(), "/copy", 20_000, "");
+            program.serve(0, "kept");
+            assertEquals("kept", next.answer().body());
+        }
+    }
+
     private static boolean isLetGo(Socket socket) throws IOException {
         try (socket) {
             Http.Message answer = Http.read(socket);
