Count a worker whose jobs take much longer than elsewhere as loaded more

A slow machine reports no load while it is idle, so Brain.load kept choosing it. Book.slowness compares, by the hints, how long jobs take at a worker with all workers, fading in 4 s, jobs that are out and overdue included; what is above 1.5 is added to its load.

--- a/src/main/java/loomreel/decision/Book.java
+++ b/src/main/java/loomreel/decision/Book.java
@@ -21,6 +21,8 @@
     static final long NEVER = Long.MIN_VALUE / 2;
 
     final long startedAt;
+    /** How long it is held against a worker that it was slow. */
+    private static final double SLOW_MEMORY = 4e6;
     private final double memory;
     private final Model.Rules rules;
     final TreeMap<String, Worker> workers = new TreeMap<>();
@@ -46,6 +48,9 @@
     double probeTime;
     /** Work sent, in slots times time. */
     final Fading workSent;
+    /** Time from send to end of the jobs served, and the work that they were said to be. */
+    private final Fading ran;
+    private final Fading asked;
     final Bucket[] tenants;
     long askBackoff;
 
@@ -57,6 +62,8 @@
         meanRun = settings.classes().stream().mapToDouble(RequestClass::target).toArray();
         probeTime = settings.tick() * 2;
         workSent = new Fading(memory);
+        ran = new Fading(memory);
+        asked = new Fading(memory);
         tenants = settings.tenants().stream().map(t -> new Bucket()).toArray(Bucket[]::new);
     }
 
@@ -85,10 +92,45 @@
         return Math.max(1, work(r) / meanRunOfAll());
     }
 
-    void noteRun(Request r, double run) {
+    private void noteRun(Request r, double run) {
         meanRun[r.arrival.requestClass()] += 0.03 * (run - meanRun[r.arrival.requestClass()]);
     }
 
+    /** A job has been served; {@code run} is from its start, where that is told, else from its send. */
+    void noteServed(Attempt a, long run, long now) {
+        noteRun(a.request, run);
+        double hint = a.request.arrival.work();
+        if (!Double.isNaN(hint)) {
+            a.worker.ran.add(run, now);
+            a.worker.asked.add(hint, now);
+            ran.add(run, now);
+            asked.add(hint, now);
+        }
+    }
+
+    /**
+     * How much longer jobs take at this worker than at all of them, for the work that they were said to be; about 1
+     * where little is known. A job that is out counts once it has taken longer than usual.
+     */
+    double slowness(Worker w, long now) {
+        if (asked.at(now) <= 0) {
+            return 1;
+        }
+        double usual = ran.at(now) / asked.at(now);
+        double known = 3 * meanRunOfAll();
+        double work = known + w.asked.at(now);
+        double time = known * usual + w.ran.at(now);
+        for (Attempt a : w.open) {
+            double hint = a.request.arrival.work();
+            long run = now - (a.startedAt < 0 ? a.sentAt : a.startedAt);
+            if (run > usual * hint) {
+                work += hint;
+                time += run;
+            }
+        }
+        return time / work / usual;
+    }
+
     void noteWait(double wait) {
         waitSpread += 0.05 * (Math.abs(wait - meanWait) - waitSpread);
         meanWait += 0.05 * (wait - meanWait);
@@ -214,6 +256,8 @@
         /** When the probe that is out was sent; -1 where none is. */
         long probedAt = -1;
         final Fading ownSince;
+        final Fading ran = new Fading(SLOW_MEMORY);
+        final Fading asked = new Fading(SLOW_MEMORY);
         final List<Request> probeWaiters = new ArrayList<>();
         final List<Attempt> open = new ArrayList<>();
 
--- a/src/main/java/loomreel/decision/Brain.java
+++ b/src/main/java/loomreel/decision/Brain.java
@@ -42,6 +42,8 @@
     private static final long FRESH = 400_000;
     /** The size of job, as a share of the mean, that must still make it in time when an attempt starts. */
     private static final double TYPICAL = 0.4;
+    /** Machines differ; one that takes this much longer than all of them is loaded more, by what is above. */
+    private static final double SLOW = 1.5;
     /** The share of the tipping load that goes to a cold worker: windows may bunch and jobs may be heavy. */
     private static final double COLD_MARGIN = 0.33;
     /** No more than this share of the workers is avoided at a time, or the rest would drown. */
@@ -342,13 +344,14 @@
             }
             own += a.request.arrival.slots();
         }
+        double slow = Math.max(0, book.slowness(w, now) - SLOW);
         double age = now - w.reportAt;
         double usual = book.meanLoad + (w.meanLoad - book.meanLoad) * Math.exp(-age / FADE);
         if (settings.reporting() == Reporting.NONE) {
-            return usual + own / book.slots(w);
+            return usual + own / book.slots(w) + slow;
         }
         double trust = Math.exp(-(age + REPORT_LAG) / (2 * book.meanRunOfAll()));
-        return trust * w.load + (1 - trust) * usual + w.ownSince.at(now) / book.slots(w);
+        return trust * w.load + (1 - trust) * usual + w.ownSince.at(now) / book.slots(w) + slow;
     }
 
     /**
@@ -443,7 +446,7 @@
         switch (e.outcome()) {
             case OK -> {
                 w.heard(now);
-                book.noteRun(r, a.startedAt < 0 ? e.took() : now - a.startedAt);
+                book.noteServed(a, a.startedAt < 0 ? e.took() : now - a.startedAt, now);
             }
             case ERROR, RESET -> w.heard(now);
             case FULL -> {
--- a/src/test/java/loomreel/decision/OrdinaryPathTest.java
+++ b/src/test/java/loomreel/decision/OrdinaryPathTest.java
@@ -155,6 +155,29 @@
         assertEquals(worker, target(f, "c", "key", Fixture.READ));
     }
 
+    /** A machine that has become slow reports no load while it is idle, and makes late whatever it gets. */
+    @Test
+    void aWorkerWhoseJobsTakeMuchLongerThanElsewhereIsPassedOverForAWhile() {
+        Fixture f = new Fixture();
+        f.on(new WholeList(Fixture.workers(20)));
+        String slow = serve(f, "a", "key", "none");
+        for (int i = 0; i < 400; i++) {
+            serve(f, "r" + i, "key" + i, slow);
+        }
+        assertNotEquals(slow, serve(f, "b", "key", slow));
+        f.now += 60 * SECOND;
+        assertEquals(slow, serve(f, "c", "key", slow));
+    }
+
+    /** Has a job of 0.1 s of work run for that long, or for 5 s at the slow worker; the worker that got it. */
+    private static String serve(Fixture f, String id, String key, String slow) {
+        f.now += SECOND / 50;
+        String worker = sends(f.on(new Arrival(id, key, 1, Fixture.READ, -1, f.now + 10 * SECOND, false,
+                SECOND / 10))).get(0).worker();
+        f.on(new Ended(id, 0, worker, Outcome.OK, true, worker.equals(slow) ? 5 * SECOND : SECOND / 10, null));
+        return worker;
+    }
+
     @Test
     void aResetProbeIsNoSilence() {
         Fixture f = new Fixture(Fixture.settings(1, true, true, Reporting.WITH_PROBES, false), 3);
