--- a/src/main/java/loomreel/decision/Brain.java
+++ b/src/main/java/loomreel/decision/Brain.java
@@ -43,7 +43,7 @@
     /** The size of job, as a share of the mean, that must still make it in time when an attempt starts. */
     private static final double TYPICAL = 0.4;
     /** Machines differ; one that takes this much longer than all of them is loaded more, by what is above. */
-    private static final double SLOW = 1.5;
+    private static final double SLOW = 1.25;
     /** The share of the tipping load that goes to a cold worker: windows may bunch and jobs may be heavy. */
     private static final double COLD_MARGIN = 0.33;
     /** No more than this share of the workers is avoided at a time, or the rest would drown. */
