Let one job that does not end say little of its worker's speed

Cause: Book.slowness counted a job whose answer is lost with up to 5 s against 0.1 s of work, and so left a sound worker out until its deadline. Such a job now counts with no more than a mean job above its own work.

--- a/src/main/java/loomreel/decision/Book.java
+++ b/src/main/java/loomreel/decision/Book.java
@@ -110,7 +110,8 @@
 
     /**
      * How much longer jobs take at this worker than at all of them, for the work that they were said to be; about 1
-     * where little is known. A job that is out counts once it has taken longer than usual.
+     * where little is known. A job that is out counts once it has taken longer than usual, but no more than a mean
+     * job does: its answer may be lost, and one such job says little of the worker.
      */
     double slowness(Worker w, long now) {
         if (asked.at(now) <= 0) {
@@ -125,7 +126,7 @@
             long run = now - (a.startedAt < 0 ? a.sentAt : a.startedAt);
             if (run > usual * hint) {
                 work += hint;
-                time += run;
+                time += Math.min(run, usual * (hint + meanRunOfAll()));
             }
         }
         return time / work / usual;
--- a/src/test/java/loomreel/decision/OrdinaryPathTest.java
+++ b/src/test/java/loomreel/decision/OrdinaryPathTest.java
@@ -169,6 +169,21 @@
         assertEquals(slow, serve(f, "c", "key", slow));
     }
 
+    /** An answer may be lost: one job that does not end must not take its worker out of use. */
+    @Test
+    void aWorkerIsNotPassedOverForOneJobThatDoesNotEnd() {
+        Fixture f = new Fixture();
+        f.on(new WholeList(Fixture.workers(1)));
+        for (int i = 0; i < 200; i++) {
+            serve(f, "r" + i, "key", "none");
+        }
+        f.now += 20 * SECOND;
+        f.on(new Arrival("lost", "key", 1, Fixture.READ, -1, f.now + 10 * SECOND, false, SECOND / 10));
+        f.on(new Running("lost", 0));
+        f.now += 3 * SECOND;
+        assertEquals("w00", serve(f, "next", "key", "none"));
+    }
+
     /** Has a job of 0.1 s of work run for that long, or for 5 s at the slow worker; the worker that got it. */
     private static String serve(Fixture f, String id, String key, String slow) {
         f.now += SECOND / 50;
