Refuse cost hints and slots that are no sound numbers

Seen (from reading): ClientConnection.number took any finite double, so a bad client's X-Call-Cost of 1e300 or slots of the same size went into the module's sums (Book.slowness, ownSince) and drowned all other figures; a negative one passed as absent. Now both are plain decimals of at most ten digits, slots at most 1,024.

--- a/src/main/java/loomreel/net/ClientConnection.java
+++ b/src/main/java/loomreel/net/ClientConnection.java
@@ -24,6 +24,8 @@
     private static final long PAUSE = 100_000;
     /** What a client may still send after its last answer; then it is read no more, which costs nothing. */
     private static final int DISCARD_MOST = 256 * 1024;
+    /** No machine has more; a job that asks for more is a mistake. */
+    private static final int MOST_SLOTS = 1024;
 
     private final Server server;
     /** The job that it waits for. */
@@ -138,42 +140,41 @@
     private void job(Message message, int requestClass) {
         String id = message.header("x-call-id");
         String budget = message.header("x-budget-ms");
+        double slots = slots(message.header("x-call-info"));
+        String hint = message.header("x-call-cost");
+        double cost = hint == null ? Double.NaN : number(hint);
+        // What the module adds up must be sound: one job of 1e300 would drown all others in its figures.
         if (id == null || !id.matches("[0-9a-fA-F]{16}") || budget == null || !budget.matches("[0-9]{1,9}")
-                || server.dispatcher.holds(id)) {
+                || slots < 0 || cost < 0 || server.dispatcher.holds(id)) {
             message.body().release();
             answer(400, new byte[0], null);
             return;
         }
         server.known(this);
-        String caller = message.header("x-caller");
-        String cost = message.header("x-call-cost");
         long due = loop.now() + 1000 * Long.parseLong(budget);
         rpc = new Rpc(id, message.target(), message.body(), due, this);
-        server.dispatcher.take(rpc, new Model.Arrival(id, message.header("x-route-hash"),
-                Math.max(1, slots(message.header("x-call-info"))), requestClass,
-                server.tenants.getOrDefault(caller, -1), due, "1".equals(message.header("x-again")),
-                cost == null ? Double.NaN : number(cost, Double.NaN)));
+        server.dispatcher.take(rpc, new Model.Arrival(id, message.header("x-route-hash"), Math.max(1, slots),
+                requestClass, server.tenants.getOrDefault(message.header("x-caller"), -1), due,
+                "1".equals(message.header("x-again")), cost));
     }
 
+    /** The slots that a job needs: 1 where it does not say; below 0 where what it says is no such number. */
     private static double slots(String info) {
         if (info != null) {
             for (String part : info.split(",")) {
                 String[] field = part.strip().split("=", 2);
                 if (field.length == 2 && field[0].equals("slots")) {
-                    return number(field[1], 1);
+                    double slots = number(field[1]);
+                    return slots > MOST_SLOTS ? -1 : slots;
                 }
             }
         }
         return 1;
     }
 
-    private static double number(String text, double otherwise) {
-        try {
-            double value = Double.parseDouble(text.strip());
-            return value >= 0 && Double.isFinite(value) ? value : otherwise;
-        } catch (NumberFormatException e) {
-            return otherwise;
-        }
+    /** A plain decimal number of some size, or -1. */
+    private static double number(String text) {
+        return text.matches("[0-9]{1,10}(\\.[0-9]{1,10})?") ? Double.parseDouble(text) : -1;
     }
 
     private void news(byte[] body) {
