Take the listener from descriptor 0, and let two processes of one dispatcher serve together

Done: with BALANCER_LISTEN_FD the listener is System.inheritedChannel(), whose key alone is ever cancelled. Sibling ties the two processes (a Unix-domain connection in TMPDIR, HTTP requests both ways) and passes call-backs on; while it stands each holds half of the descriptors. loomreel.ops answers readiness and the figures. After SIGTERM a process with a successor accepts no more, says "Connection: close" with every answer and keeps idle connections for 2.3 s.

--- a/src/main/java/loomreel/cli/Serve.java
+++ b/src/main/java/loomreel/cli/Serve.java
@@ -6,6 +6,7 @@
 import loomreel.config.ConfigException;
 import loomreel.config.ServeConfig;
 import loomreel.net.Server;
+import loomreel.ops.OpsServer;
 import picocli.CommandLine.Command;
 import sun.misc.Signal;
 
@@ -17,7 +18,11 @@
     public Integer call() {
         Server server;
         try {
-            server = new Server(ServeConfig.read(System.getenv()));
+            ServeConfig config = ServeConfig.read(System.getenv());
+            server = new Server(config);
+            if (config.operators() != null) {
+                new OpsServer(server.loop(), config.operators(), server);
+            }
         } catch (ConfigException e) {
             System.err.println("loomreel: " + e.getMessage());
             return 2;
--- a/src/main/java/loomreel/config/ServeConfig.java
+++ b/src/main/java/loomreel/config/ServeConfig.java
@@ -6,11 +6,15 @@
 import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Objects;
 import loomreel.decision.Model;
 
 /**
  * What a real dispatcher is told: {@code BALANCER_CONFIG} names a JSON file, and the other variables stand above it.
  *
+ * @param inherited whether the listener is handed over at descriptor 0; else {@code listen} is bound
+ * @param operators the second address, or null where there is none
+ * @param directory where a process leaves what the next one has to know, or null
  * @param sockets how many file descriptors the process may hold
  * @param memory how many bytes it may use
  * @param known the list of copy workers as it was last held
@@ -18,9 +22,9 @@
  * @param idleFor how long a copy worker keeps an idle connection, in microseconds
  * @param answerSlack how long after a client's deadline an answer still counts, in microseconds
  */
-public record ServeConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
-        long memory, ResolverResult known, Model.Settings settings, long connectWithin, long idleFor,
-        long answerSlack) {
+public record ServeConfig(String name, InetSocketAddress listen, boolean inherited, InetSocketAddress operators,
+        Path directory, InetSocketAddress discovery, long seed, int sockets, long memory, ResolverResult known,
+        Model.Settings settings, long connectWithin, long idleFor, long answerSlack) {
     /**
      * Reads the configuration.
      *
@@ -32,6 +36,12 @@
         if (file == null || file.isEmpty()) {
             throw new ConfigException("BALANCER_CONFIG is not set");
         }
+        String inherited = env.getOrDefault("BALANCER_LISTEN_FD", "");
+        // The platform's own library hands over this one and no other.
+        if (!inherited.isEmpty() && !inherited.equals("0")) {
+            throw new ConfigException("BALANCER_LISTEN_FD can only be 0, not " + inherited);
+        }
+        String directory = env.getOrDefault("TMPDIR", "");
         Object root;
         try {
             root = JsonTree.read(Files.readAllBytes(Path.of(file)));
@@ -44,8 +54,11 @@
                 throw new IllegalArgumentException("no RequestClasses");
             }
             Object seed = SetupReader.get(root, "seed");
+            String operators = optional(env, "MGMT", root, "mgmt");
             return new ServeConfig(text(env, "NAME", root, "name"),
-                    ResolverResult.address(text(env, "LISTEN", root, "listen")),
+                    ResolverResult.address(text(env, "LISTEN", root, "listen")), !inherited.isEmpty(),
+                    operators.isEmpty() ? null : ResolverResult.address(operators),
+                    directory.isEmpty() ? null : Path.of(directory),
                     ResolverResult.address(text(env, "DISCOVERY", root, "discovery")),
                     Long.parseUnsignedLong(String.valueOf(seed), 16),
                     (int) SetupReader.number(SetupReader.get(root, "limits", "sockets"), 1024),
@@ -74,17 +87,20 @@
 
     /** Whether another configuration is the same but for what may change while the program runs, or always does. */
     public boolean restartsAs(ServeConfig other) {
-        return name.equals(other.name) && listen.equals(other.listen) && sockets == other.sockets
+        return name.equals(other.name) && listen.equals(other.listen)
+                && Objects.equals(operators, other.operators) && sockets == other.sockets
                 && memory == other.memory && settings.equals(other.settings)
                 && connectWithin == other.connectWithin && idleFor == other.idleFor
                 && answerSlack == other.answerSlack;
     }
 
-    private static String text(Map<String, String> env, String variable, Object root, String field) {
+    private static String optional(Map<String, String> env, String variable, Object root, String field) {
         String value = env.get("BALANCER_" + variable);
-        if (value == null || value.isEmpty()) {
-            value = SetupReader.text(root, field);
-        }
+        return value == null || value.isEmpty() ? SetupReader.text(root, field) : value;
+    }
+
+    private static String text(Map<String, String> env, String variable, Object root, String field) {
+        String value = optional(env, variable, root, field);
         if (value.isEmpty()) {
             throw new IllegalArgumentException("no " + field + ", and BALANCER_" + variable + " is not set");
         }
--- a/src/main/java/loomreel/decision/Brain.java
+++ b/src/main/java/loomreel/decision/Brain.java
@@ -111,6 +111,11 @@
         }
     }
 
+    /** How many of the listed workers are left alone now. */
+    public int avoided(long now) {
+        return (int) book.workers.values().stream().filter(w -> now < w.avoidUntil).count();
+    }
+
     private void start(Start start) {
         settings = start.settings();
         random = new SplittableRandom(start.seed());
--- a/src/main/java/loomreel/net/BoundedLog.java
+++ b/src/main/java/loomreel/net/BoundedLog.java
@@ -4,26 +4,30 @@
 import java.lang.System.Logger.Level;
 
 /** A log that others can make write only so much: ten lines a second each, and then a count of what was left out. */
-final class BoundedLog {
+public final class BoundedLog {
     private static final int MOST = 10;
 
     private final Logger logger;
     private long second;
     private int lines;
 
-    BoundedLog(String name) {
+    /** A log of that name. */
+    public BoundedLog(String name) {
         logger = System.getLogger(name);
     }
 
-    void info(String text) {
+    /** What goes as it should. */
+    public void info(String text) {
         write(Level.INFO, text, null);
     }
 
-    void warn(String text) {
+    /** What somebody may have to look at. */
+    public void warn(String text) {
         write(Level.WARNING, text, null);
     }
 
-    void error(String text, Throwable fault) {
+    /** A fault of this program. */
+    public void error(String text, Throwable fault) {
         write(Level.ERROR, text, fault);
     }
 
--- a/src/main/java/loomreel/net/CallAttempt.java
+++ b/src/main/java/loomreel/net/CallAttempt.java
@@ -16,6 +16,7 @@
     private EventLoop.Timer timer;
     /** Carries the request until the copy worker has said whether it takes it. */
     private PeerConnection connection;
+    private boolean written;
     private boolean accepted;
     private boolean ended;
     private boolean handedBack;
@@ -53,6 +54,14 @@
         return deadline;
     }
 
+    @Override
+    public void written() {
+        if (!written) {
+            written = true;
+            dispatcher.figures.called();
+        }
+    }
+
     @Override
     public void answered(Message message) {
         connection = null;
--- a/src/main/java/loomreel/net/ClientConnection.java
+++ b/src/main/java/loomreel/net/ClientConnection.java
@@ -3,10 +3,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
-import java.nio.charset.StandardCharsets;
 import java.util.Locale;
-import java.util.Map;
-import loomreel.config.JsonTree;
 import loomreel.decision.Model;
 import loomreel.http.BadMessageException;
 import loomreel.http.Bytes;
@@ -54,12 +51,12 @@
     }
 
     @Override
-    boolean takesMore() {
+    protected boolean takesMore() {
         return !owes() && !leaving;
     }
 
     @Override
-    void take(ByteBuffer in) {
+    protected void take(ByteBuffer in) {
         if (leaving) {
             discarded += in.remaining();
             pauseReading(discarded > DISCARD_MOST);
@@ -105,7 +102,7 @@
     }
 
     @Override
-    void received(Message message) {
+    protected void received(Message message) {
         stopTimer();
         server.busy(this);
         answering = true;
@@ -123,6 +120,7 @@
         } else if (path.equals("/_jobs/news")) {
             news(message.body().toArray());
         } else if (!server.hasRoom()) {
+            server.dispatcher.figures.settled(server.classes.get(requestClass(path)), Figures.Settled.BUSY);
             lastAnswer = true;
             refused(new UnavailableStatus(Server.COME_BACK));
         } else {
@@ -152,7 +150,7 @@
         }
         server.known(this);
         long due = loop.now() + 1000 * Long.parseLong(budget);
-        rpc = new Rpc(id, message.target(), message.body(), due, this);
+        rpc = new Rpc(id, requestClass, message.target(), message.body(), due, this, server.dispatcher.figures);
         server.dispatcher.take(rpc, new Model.Arrival(id, message.header("x-route-hash"), Math.max(1, slots),
                 requestClass, server.tenants.getOrDefault(message.header("x-caller"), -1), due,
                 "1".equals(message.header("x-again")), cost));
@@ -178,23 +176,25 @@
     }
 
     private void news(byte[] body) {
-        Object tree;
-        try {
-            tree = JsonTree.read(body);
-        } catch (IOException e) {
-            tree = null;
-        }
-        if (!(tree instanceof Map<?, ?> news) || !(news.get("id") instanceof String id)
-                || !(news.get("from") instanceof String from) || !(news.get("state") instanceof String state)) {
+        JobNews news = JobNews.of(body);
+        if (news == null) {
             server.log.warn("a call-back that is no news of a job");
             answer(400, new byte[0], null);
             return;
         }
         server.known(this);
-        // Answered first: a copy worker repeats what is not answered, and the rest may take a while.
-        answer(200, new byte[0], null);
-        byte[] result = news.get("result") instanceof String text ? text.getBytes(StandardCharsets.UTF_8) : new byte[0];
-        server.dispatcher.news(id, from, state, result, news.get("load"));
+        // Answered first: a copy worker repeats what is not answered, and the rest may take a while. What is for the
+        // other process is answered once that has it: nobody would repeat what is lost on the way.
+        if (server.dispatcher.holds(news.id())) {
+            answer(200, new byte[0], null);
+            server.dispatcher.news(news);
+        } else {
+            server.pass(body, () -> {
+                if (!isClosed()) {
+                    answer(200, new byte[0], null);
+                }
+            });
+        }
     }
 
     @Override
@@ -234,14 +234,14 @@
     }
 
     @Override
-    void malformed(BadMessageException why) {
+    protected void malformed(BadMessageException why) {
         server.log.info("a request that cannot be read: " + why.getMessage());
         server.busy(this);
         refuse(why.status);
     }
 
     @Override
-    void flushed() {
+    protected void flushed() {
         if (!answering) {
             return;
         }
@@ -273,17 +273,14 @@
     private void leave() {
         leaving = true;
         server.leaving(this);
-        try {
-            channel.shutdownOutput();
-        } catch (IOException e) {
-            close();
-            return;
+        endOutput();
+        if (!isClosed()) {
+            within();
         }
-        within();
     }
 
     @Override
-    void broken() {
+    protected void broken() {
         if (rpc != null) {
             Rpc gone = rpc;
             rpc = null;
@@ -292,7 +289,7 @@
     }
 
     @Override
-    void close() {
+    public void close() {
         if (!isClosed()) {
             broken();
             super.close();
--- a/src/main/java/loomreel/net/Connection.java
+++ b/src/main/java/loomreel/net/Connection.java
@@ -10,12 +10,12 @@
 import loomreel.http.MessageParser;
 
 /** One TCP connection that carries HTTP messages both ways. */
-abstract class Connection implements EventLoop.Handler {
-    final EventLoop loop;
-    final SocketChannel channel;
-    final MessageParser parser;
+public abstract class Connection implements EventLoop.Handler {
+    protected final EventLoop loop;
+    protected final SocketChannel channel;
+    protected final MessageParser parser;
     /** What is still to be written. */
-    final Bytes out;
+    protected final Bytes out;
     private final SelectionKey key;
     private boolean up;
     private boolean paused;
@@ -27,7 +27,7 @@
      * @param up whether it is connected; else it is on its way
      * @param requests whether requests come in here; else responses
      */
-    Connection(EventLoop loop, SocketChannel channel, boolean up, boolean requests) throws IOException {
+    protected Connection(EventLoop loop, SocketChannel channel, boolean up, boolean requests) throws IOException {
         this.loop = loop;
         this.channel = channel;
         this.up = up;
@@ -37,22 +37,22 @@
     }
 
     /** A whole message has come. */
-    abstract void received(Message message);
+    protected abstract void received(Message message);
 
     /** The bytes that come are no message. */
-    abstract void malformed(BadMessageException why);
+    protected abstract void malformed(BadMessageException why);
 
     /** The other side has closed or broken the connection; it is closed here after this. */
-    abstract void broken();
+    protected abstract void broken();
 
     /** All that was to be written is written. */
-    abstract void flushed();
+    protected abstract void flushed();
 
-    final boolean isUp() {
+    protected final boolean isUp() {
         return up;
     }
 
-    final boolean isClosed() {
+    protected final boolean isClosed() {
         return closed;
     }
 
@@ -89,12 +89,12 @@
     }
 
     /** Whether another message may be read now. */
-    boolean takesMore() {
+    protected boolean takesMore() {
         return true;
     }
 
     /** Takes bytes in as they are read. */
-    void take(ByteBuffer in) {
+    protected void take(ByteBuffer in) {
         try {
             while (!closed && takesMore() && in.hasRemaining()) {
                 Message message = parser.feed(in);
@@ -108,7 +108,7 @@
     }
 
     /** Writes as much as goes; the rest follows when the channel takes it. */
-    final void flush() {
+    protected final void flush() {
         if (!up || closed) {
             return;
         }
@@ -126,7 +126,7 @@
     }
 
     /** Reads no more until told to; what must be written still is. */
-    final void pauseReading(boolean pause) {
+    protected final void pauseReading(boolean pause) {
         paused = pause;
         if (!closed) {
             key.interestOps(pause ? key.interestOps() & ~SelectionKey.OP_READ
@@ -134,6 +134,24 @@
         }
     }
 
+    /** Reads what has come before the selector has said so. */
+    public final void readNow() {
+        try {
+            read();
+        } catch (IOException e) {
+            fail();
+        }
+    }
+
+    /** Tells the other side that nothing more comes from here; what it still sends can be read. */
+    protected final void endOutput() {
+        try {
+            channel.shutdownOutput();
+        } catch (IOException e) {
+            close();
+        }
+    }
+
     private void fail() {
         if (!closed) {
             broken();
@@ -141,7 +159,8 @@
         }
     }
 
-    void close() {
+    /** Ends it from this side; further calls do nothing. */
+    public void close() {
         if (!closed) {
             closed = true;
             parser.release();
--- a/src/main/java/loomreel/net/Dispatcher.java
+++ b/src/main/java/loomreel/net/Dispatcher.java
@@ -34,29 +34,33 @@
     /** The module answers one event before it hears the next, also of what its own answer caused. */
     private final ArrayDeque<Event> events = new ArrayDeque<>();
     private final List<Model.Action> actions = new ArrayList<>();
-    private final int most;
+    final Figures figures;
+    private int most;
     /** When what is taken from now on has its answer at the latest. */
     private long leaveBy = Long.MAX_VALUE;
     private boolean telling;
     private int taken;
-    private int served;
-    private int refused;
-    private int failed;
     private int withdrawn;
     private int probes;
     private int probesLost;
 
-    /** A dispatcher that has not started; {@code sockets} are for calls that it makes, {@code most} RPCs may be open. */
-    Dispatcher(EventLoop loop, ServeConfig config, int sockets, int most) {
-        this.most = most;
+    /** A dispatcher that has not started, and has no room before it is told how much. */
+    Dispatcher(EventLoop loop, ServeConfig config) {
         this.loop = loop;
         this.config = config;
-        descriptors = new Peer.Descriptors(sockets);
+        figures = new Figures(config.settings().classes());
+        descriptors = new Peer.Descriptors(0);
         keepAlive = new KeepAlive((long) (config.idleFor() * IDLE_SHARE));
         resolver = new Resolver(loop, new Peer(loop, "discovery", config.discovery(), new Peer.Descriptors(1),
                 config.connectWithin(), new KeepAlive(SECOND), peerLog), config.known().seq(), this);
     }
 
+    /** From now on {@code sockets} are for calls that it makes, and {@code jobs} RPCs may be open. */
+    void room(int sockets, int jobs) {
+        descriptors.most(sockets);
+        most = jobs;
+    }
+
     void start() {
         tell(new Model.Start(config.seed(), config.settings()));
         resolved(config.known());
@@ -70,14 +74,15 @@
     }
 
     private void logFigures() {
-        log.info(figures() + "; longest turn " + loop.takeLongestTurn() / 1000 + " ms");
+        log.info(summary() + "; longest turn " + loop.takeLongestTurn() / 1000 + " ms");
         loop.at(loop.now() + FIGURES_EVERY, this::logFigures);
     }
 
     /** What has come of everything so far. */
-    String figures() {
-        return "open " + rpcs.size() + ", in all: taken " + taken + ", served " + served + ", refused " + refused
-                + ", failed " + failed + ", withdrawn " + withdrawn + "; copy workers " + subchannels.size()
+    String summary() {
+        return "open " + rpcs.size() + ", in all: taken " + taken + ", served "
+                + figures.count(Figures.Settled.SUCCESS) + ", refused " + figures.count(Figures.Settled.BUSY)
+                + ", failed " + figures.count(Figures.Settled.FAILURE) + ", withdrawn " + withdrawn + "; copy workers " + subchannels.size()
                 + ", probes " + probes + ", of them lost " + probesLost;
     }
 
@@ -86,6 +91,12 @@
         return rpcs.values().stream().allMatch(Rpc::isOver);
     }
 
+    /** What is reported of it all. */
+    Map<String, Object> report() {
+        int open = (int) rpcs.values().stream().filter(r -> !r.isOver()).count();
+        return figures.report(open, subchannels.size(), brain.avoided(loop.now()));
+    }
+
     /** Whether another RPC may be taken. */
     boolean hasRoom() {
         return rpcs.size() < most;
@@ -117,7 +128,6 @@
         if (!rpc.isOver()) {
             log.warn((loop.now() >= leaveBy ? "not done before leaving: " : "no decision by its deadline: ") + rpc.id
                     + " failed");
-            failed++;
             rpc.fail();
             tell(new Model.Withdrawn(rpc.id));
         }
@@ -133,11 +143,11 @@
     }
 
     /** What a copy worker says of a job; of one that is not known any more there is nothing to be done. */
-    void news(String id, String from, String state, byte[] result, Object load) {
-        Rpc rpc = rpcs.get(id);
-        CallAttempt attempt = rpc == null ? null : rpc.openAt(from);
+    void news(JobNews news) {
+        Rpc rpc = rpcs.get(news.id());
+        CallAttempt attempt = rpc == null ? null : rpc.openAt(news.from());
         if (attempt != null) {
-            attempt.news(state, result, load);
+            attempt.news(news.state(), news.result(), news.load());
         }
     }
 
@@ -147,9 +157,6 @@
 
     void ended(CallAttempt attempt, Outcome outcome, Model.Report report) {
         Rpc rpc = attempt.rpc;
-        if (outcome == Outcome.OK) {
-            served++;
-        }
         tell(new Model.Ended(rpc.id, attempt.number, attempt.worker(), outcome, rpc.isOver(),
                 loop.now() - attempt.sentAt, report));
         forget(rpc);
@@ -231,14 +238,12 @@
         } else if (action instanceof Model.Refuse refuse) {
             Rpc rpc = rpcs.get(refuse.request());
             if (rpc != null && !rpc.isOver()) {
-                refused++;
                 rpc.refuse(new UnavailableStatus(refuse.holdOff()));
                 forget(rpc);
             }
         } else if (action instanceof Model.Fail fail) {
             Rpc rpc = rpcs.get(fail.request());
             if (rpc != null && !rpc.isOver()) {
-                failed++;
                 rpc.fail();
                 forget(rpc);
             }
--- a/src/main/java/loomreel/net/EventLoop.java
+++ b/src/main/java/loomreel/net/EventLoop.java
@@ -10,14 +10,14 @@
 import loomreel.http.BufferPool;
 
 /** One thread, one selector, one clock. Everything that a dispatcher holds belongs to this thread. */
-final class EventLoop {
+public final class EventLoop {
     /** Something that waits for its channel. */
-    interface Handler {
+    public interface Handler {
         void ready(SelectionKey key);
     }
 
     /** Something to do at a time. */
-    static final class Timer implements Comparable<Timer> {
+    public static final class Timer implements Comparable<Timer> {
         private final long at;
         private final long order;
         private Runnable task;
@@ -29,7 +29,7 @@
         }
 
         /** It will not be done. */
-        void cancel() {
+        public void cancel() {
             task = null;
         }
 
@@ -39,8 +39,8 @@
         }
     }
 
-    final Selector selector;
-    final BufferPool pool;
+    public final Selector selector;
+    public final BufferPool pool;
     /** Where reads land; empty again at the end of each. */
     final ByteBuffer scratch = ByteBuffer.allocateDirect(BufferPool.SIZE);
     private final PriorityQueue<Timer> timers = new PriorityQueue<>();
@@ -61,7 +61,7 @@
      * Microseconds, read once a turn. Set to Unix time when the loop was made and monotonic from then on, so that
      * starts of copy workers, told in Unix time, are on the same clock.
      */
-    long now() {
+    public long now() {
         return now;
     }
 
@@ -69,7 +69,8 @@
         return anchor + System.nanoTime() / 1000;
     }
 
-    Timer at(long time, Runnable task) {
+    /** Has something done at a time, or soon after. */
+    public Timer at(long time, Runnable task) {
         Timer timer = new Timer(time, order++, task);
         timers.add(timer);
         return timer;
--- a/src/main/java/loomreel/net/Exchange.java
+++ b/src/main/java/loomreel/net/Exchange.java
@@ -8,6 +8,9 @@
     /** When it stops waiting. */
     long deadline();
 
+    /** Its last byte has been written. */
+    default void written() { }
+
     /** The other side has answered; the body is released after this. */
     void answered(Message message);
 
--- a/src/main/java/loomreel/net/Peer.java
+++ b/src/main/java/loomreel/net/Peer.java
@@ -11,7 +11,7 @@
 final class Peer {
     /** Bounds the descriptors of all peers together. */
     static final class Descriptors {
-        private final int most;
+        private int most;
         private int open;
         /** Every idle connection of every peer, the longest idle first. */
         private final ArrayDeque<PeerConnection> idle = new ArrayDeque<>();
@@ -20,6 +20,14 @@
             this.most = most;
         }
 
+        /** Changes the bound; what is open beyond it goes as it falls idle. */
+        void most(int number) {
+            most = number;
+            while (open > most && !idle.isEmpty()) {
+                idle.peekFirst().close();
+            }
+        }
+
         /** Whether one more may be opened, if need be in place of an idle one. */
         private boolean room() {
             if (open >= most && !idle.isEmpty()) {
@@ -99,7 +107,7 @@
 
     /** A connection has carried its exchange to the end. */
     void free(PeerConnection connection) {
-        if (connection.generation != generation) {
+        if (connection.generation != generation || descriptors.open > descriptors.most) {
             connection.close();
             return;
         }
--- a/src/main/java/loomreel/net/PeerConnection.java
+++ b/src/main/java/loomreel/net/PeerConnection.java
@@ -56,11 +56,12 @@
     }
 
     @Override
-    void flushed() {
+    protected void flushed() {
         // The connection stands now: from here on only the exchange's own deadline counts.
         if (exchange != null) {
             timer.cancel();
             timer = loop.at(exchange.deadline(), this::due);
+            exchange.written();
         }
     }
 
@@ -88,7 +89,7 @@
     }
 
     @Override
-    void received(Message message) {
+    protected void received(Message message) {
         Exchange ended = exchange;
         exchange = null;
         peer.usedAgain(idleBefore, false);
@@ -105,14 +106,14 @@
     }
 
     @Override
-    void malformed(BadMessageException why) {
+    protected void malformed(BadMessageException why) {
         peer.log.warn(peer + " answers what is not HTTP: " + why.getMessage());
         finish(Outcome.RESET);
     }
 
     /** Before its last byte was written a request cannot have run; after that it may have. */
     @Override
-    void broken() {
+    protected void broken() {
         if (exchange != null && parser.atStart() && loop.now() - carriedAt <= peer.connectWithin()) {
             peer.usedAgain(idleBefore, true);
         }
@@ -120,7 +121,7 @@
     }
 
     @Override
-    void close() {
+    public void close() {
         if (!isClosed()) {
             super.close();
             if (timer != null) {
--- a/src/main/java/loomreel/net/Rpc.java
+++ b/src/main/java/loomreel/net/Rpc.java
@@ -16,6 +16,8 @@
     }
 
     final String id;
+    /** Its position in the settings. */
+    final int requestClass;
     /** Path and query, passed on unchanged. */
     final String target;
     final Bytes body;
@@ -23,10 +25,13 @@
     final long deadline;
     final List<CallAttempt> attempts = new ArrayList<>(2);
     private final Caller caller;
+    private final Figures figures;
     private boolean over;
 
-    Rpc(String id, String target, Bytes body, long deadline, Caller caller) {
+    Rpc(String id, int requestClass, String target, Bytes body, long deadline, Caller caller, Figures figures) {
         this.id = id;
+        this.requestClass = requestClass;
+        this.figures = figures;
         this.target = target;
         this.body = body;
         this.deadline = deadline;
@@ -54,18 +59,21 @@
 
     void serve(byte[] result) {
         if (end()) {
+            figures.settled(requestClass, Figures.Settled.SUCCESS);
             caller.served(result);
         }
     }
 
     void refuse(UnavailableStatus status) {
         if (end()) {
+            figures.settled(requestClass, Figures.Settled.BUSY);
             caller.refused(status);
         }
     }
 
     void fail() {
         if (end()) {
+            figures.settled(requestClass, Figures.Settled.FAILURE);
             caller.failed();
         }
     }
--- a/src/main/java/loomreel/net/Server.java
+++ b/src/main/java/loomreel/net/Server.java
@@ -17,10 +17,13 @@
 import loomreel.http.BufferPool;
 
 /** One real dispatcher: accepts connections, and goes when told to, empty. */
-public final class Server implements EventLoop.Handler {
+public final class Server implements EventLoop.Handler, Operations, Sibling.Listener {
     /** What a client is told that there is no room for, in microseconds. */
     static final long COME_BACK = 500_000;
-    /** Descriptors that are neither a client's nor a copy worker's: files, the selector, the listener, discovery. */
+    /**
+     * Descriptors that are neither a client's nor a copy worker's: files, the selector, the listener, discovery,
+     * the other process and operators.
+     */
     private static final int OTHER_DESCRIPTORS = 32;
     /** The copy workers' part of the rest: a job holds a connection to one for a round trip. */
     private static final double CALLS = 0.25;
@@ -40,6 +43,11 @@
     private static final int ACCEPT_AT_ONCE = 64;
     /** After a stop is asked for, connections are used this much longer: another dispatcher may be down as well. */
     private static final long STAY = 1_500_000;
+    /**
+     * With a successor, idle connections are kept for so long after that: whoever uses one meanwhile is told to close
+     * it, and a close of ours would cross what a client sends.
+     */
+    private static final long KEEP_IDLE = 2_300_000;
     /** A stop is cut short no earlier than this after the longest deadline, which counts as 3 s at most. */
     private static final long KILLED_AFTER = 700_000;
     private static final long LONGEST = 3_000_000;
@@ -56,8 +64,10 @@
     private final EventLoop loop;
     private final ServerSocketChannel listener;
     private final SelectionKey key;
-    private final int most;
-    private final int mostIdle;
+    /** The other process of this dispatcher; null where there cannot be one. */
+    private final Sibling sibling;
+    private int most;
+    private int mostIdle;
     private final Set<ClientConnection> clients = new LinkedHashSet<>();
     /** Those that have brought neither a job nor news so far, or are leaving, and since when; the oldest first. */
     private final Map<ClientConnection, Long> strangers = new LinkedHashMap<>();
@@ -69,6 +79,8 @@
     private int tooLate;
     private int noRoom;
     private boolean paused;
+    private boolean accepting = true;
+    private boolean started;
     private boolean closing;
 
     /**
@@ -85,20 +97,96 @@
         for (Model.Tenant t : config.settings().tenants()) {
             tenants.put(t.name(), tenants.size());
         }
-        int sockets = Math.max(16, config.sockets() - OTHER_DESCRIPTORS);
-        int calls = (int) (sockets * CALLS);
-        most = sockets - calls;
-        mostIdle = (int) Math.max(4, config.sockets() * IDLE);
-        dispatcher = new Dispatcher(loop, config, calls, (int) (most * JOBS));
-        listener = ServerSocketChannel.open();
-        listener.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+        dispatcher = new Dispatcher(loop, config);
+        listener = config.inherited() ? inherited() : bound(config);
         listener.configureBlocking(false);
-        listener.bind(config.listen(), BACKLOG);
+        // Before anything is accepted: the first call-back may be meant for the other process.
+        sibling = config.inherited() && config.directory() != null ? new Sibling(loop,
+                config.directory().resolve(config.name().replaceAll("[^A-Za-z0-9_-]", "_") + ".sock"), this) : null;
+        share();
         key = listener.register(loop.selector, SelectionKey.OP_ACCEPT, this);
         log.info(config.name() + " listens on " + listener.getLocalAddress() + ", " + config.known().entries().size()
                 + " copy workers known");
     }
 
+    private static ServerSocketChannel bound(ServeConfig config) throws IOException {
+        ServerSocketChannel listener = ServerSocketChannel.open();
+        listener.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+        return listener.bind(config.listen(), BACKLOG);
+    }
+
+    /**
+     * The listener that the platform holds and hands to each process as descriptor 0. It is never closed: the library
+     * would send standard error away with it.
+     */
+    private static ServerSocketChannel inherited() throws IOException {
+        if (System.inheritedChannel() instanceof ServerSocketChannel listener) {
+            return listener;
+        }
+        throw new IOException("descriptor 0 is no listening socket");
+    }
+
+    /** Two processes are one dispatcher to the platform: what it grants is shared evenly while both run. */
+    private void share() {
+        int granted = config.sockets() / (isTied() ? 2 : 1);
+        int sockets = Math.max(16, granted - OTHER_DESCRIPTORS);
+        int calls = (int) (sockets * CALLS);
+        most = sockets - calls;
+        mostIdle = (int) Math.max(4, granted * IDLE);
+        dispatcher.room(calls, (int) (most * JOBS));
+        for (int over = clients.size() - most; over > 0 && accepting && !paused; over--) {
+            makeRoom();
+        }
+    }
+
+    private boolean isTied() {
+        return sibling != null && sibling.isTied();
+    }
+
+    /** The loop that all of it runs on. */
+    public EventLoop loop() {
+        return loop;
+    }
+
+    @Override
+    public boolean isReady() {
+        return started && !closing;
+    }
+
+    @Override
+    public Map<String, Object> figures() {
+        return dispatcher.report();
+    }
+
+    @Override
+    public void tied() {
+        share();
+    }
+
+    @Override
+    public void told(String what, String text) {
+        log.warn("the other process says what is not known here: " + what);
+    }
+
+    @Override
+    public boolean passed(byte[] body) {
+        JobNews news = JobNews.of(body);
+        boolean here = news != null && dispatcher.holds(news.id());
+        if (here) {
+            dispatcher.news(news);
+        }
+        return here;
+    }
+
+    /** News that nobody here waits for; {@code taken} is called when nothing more is to be done for it. */
+    void pass(byte[] news, Runnable taken) {
+        if (sibling == null) {
+            taken.run();
+        } else {
+            sibling.pass(news, taken);
+        }
+    }
+
     /**
      * Serves until it has been drained.
      *
@@ -106,22 +194,29 @@
      */
     public void run() throws IOException {
         dispatcher.start();
+        started = true;
         logFigures();
         loop.run();
-        log.info("empty, leaving; " + dispatcher.figures() + "; " + figures());
+        log.info("empty, leaving; " + dispatcher.summary() + "; " + summary());
     }
 
     /**
-     * Lets go: for a while all goes on as before, since clients keep to the connections that they have and there may
-     * be nowhere else to go; then what is taken is served, and what is not done by the end fails. Any thread may
-     * call this.
+     * Lets go. Alone, all goes on as before for a while, since clients keep to the connections that they have and there
+     * may be nowhere else to go; with a successor it accepts no more and sends clients over to that. Then what is
+     * taken is served, and what is not done by the end fails. Any thread may call this.
      */
     public void drain() {
         loop.post(() -> {
-            log.info("asked to stop: draining");
+            boolean replaced = sibling != null && sibling.hasSuccessor();
+            log.info("asked to stop: draining" + (replaced ? ", the successor accepts" : ""));
+            if (replaced) {
+                accepting = false;
+                closing = true;
+                key.cancel();
+            }
             long longest = config.settings().classes().stream().mapToLong(Model.RequestClass::deadline).max().orElse(0);
             dispatcher.leaveBy(loop.now() + Math.min(LONGEST, longest) + KILLED_AFTER - LAST_ANSWERS);
-            loop.at(loop.now() + Math.min(STAY, longest), () -> {
+            loop.at(loop.now() + Math.min(replaced ? KEEP_IDLE : STAY, longest), () -> {
                 closing = true;
                 new ArrayList<>(idle).forEach(ClientConnection::close);
                 leaveWhenEmpty();
@@ -141,9 +236,11 @@
             try {
                 next = ServeConfig.reread(env);
             } catch (ConfigException e) {
+                dispatcher.figures.reconfigured(false);
                 log.warn("the new configuration is no good, the old one stays: " + e.getMessage());
                 return;
             }
+            dispatcher.figures.reconfigured(true);
             log.info("configuration read again: discovery at " + next.discovery()
                     + (next.restartsAs(config) ? "" : "; the other changes wait for the next start"));
             dispatcher.moveDiscovery(next.discovery());
@@ -151,11 +248,11 @@
     }
 
     private void logFigures() {
-        log.info(figures());
+        log.info(summary());
         loop.at(loop.now() + Dispatcher.FIGURES_EVERY, this::logFigures);
     }
 
-    private String figures() {
+    private String summary() {
         return "connections " + clients.size() + ", of no use so far " + strangers.size() + ", idle " + idle.size()
                 + "; in all: accepted " + accepted + ", closed for room: of no use " + strangersClosed + ", idle "
                 + idleClosed + "; too slow " + tooLate + ", jobs without room " + noRoom;
@@ -189,7 +286,7 @@
     @Override
     public void ready(SelectionKey selected) {
         try {
-            for (int i = 0; i < ACCEPT_AT_ONCE && !paused; i++) {
+            for (int i = 0; i < ACCEPT_AT_ONCE && !paused && accepting; i++) {
                 SocketChannel channel = listener.accept();
                 if (channel == null) {
                     return;
@@ -248,11 +345,16 @@
     }
 
     private void pause(long pause) {
+        if (!accepting) {
+            return;
+        }
         paused = true;
         key.interestOps(0);
         loop.at(loop.now() + pause, () -> {
             paused = false;
-            key.interestOps(SelectionKey.OP_ACCEPT);
+            if (accepting) {
+                key.interestOps(SelectionKey.OP_ACCEPT);
+            }
         });
     }
 
