Count a worker's first load reports evenly, so that a new process forgets the rush it starts in

Checked: figures each second (nobody avoided, no job without room, no lost connection), then what the module sees as it gives a job up: workers that report 0.2 to 0.5 were taken for 1.1 to 1.3 loaded. At fault: Book.sample, weight 1 for the first report and 0.1 after. The first one showed the rush of the change-over (2.25), and with three quarters of a load taken from that mean every worker stood over the threshold for seconds. Done: the first reports count evenly, together with one that stands for the fleet's mean.

--- a/src/main/java/loomreel/decision/Book.java
+++ b/src/main/java/loomreel/decision/Book.java
@@ -151,12 +151,18 @@
         }
         meanSlots = meanSlots == 0 ? w.slots : meanSlots + 0.02 * (w.slots - meanSlots);
         double load = Math.max(0, w.slots - free + waiting) / w.slots;
+        if (w.reportAt == NEVER) {
+            w.meanLoad = meanLoad;
+            w.reportAt = now;
+            w.samples = 1;
+        }
         sample(w, free < 0.5 ? Math.max(1, load) : load, now);
         meanLoad += 0.02 * (Math.min(2, w.load) - meanLoad);
     }
 
     void sample(Worker w, double load, long now) {
-        double weight = w.reportAt == NEVER ? 1 : Math.max(0.1, 1 - Math.exp((w.reportAt - now) / memory * 2));
+        // The first ones count evenly: one that shows a rush would else stand for the worker's usual load for long.
+        double weight = Math.max(1.0 / ++w.samples, Math.max(0.1, 1 - Math.exp((w.reportAt - now) / memory * 2)));
         w.load = load;
         w.meanLoad += weight * (load - w.meanLoad);
         w.reportAt = now;
@@ -250,6 +256,8 @@
         double load;
         double meanLoad;
         long reportAt;
+        /** Samples so far; where load is reported, with one that stands for what is usual everywhere. */
+        int samples;
         /** When it last gave a sign of life. */
         long heardAt;
         long avoidUntil;
@@ -274,6 +282,7 @@
             avoidUntil = NEVER;
             backoff = 0;
             reportAt = NEVER;
+            samples = 0;
             heardAt = NEVER;
         }
 
--- a/src/test/java/loomreel/decision/OrdinaryPathTest.java
+++ b/src/test/java/loomreel/decision/OrdinaryPathTest.java
@@ -282,4 +282,17 @@
         f.on(new Start(2, f.settings));
         assertTrue(sends(f.arrive("a", "key", Fixture.READ)).isEmpty(), "nothing is known after a stop");
     }
+
+    /** A node that starts under load sees a rush first, and must not take it for what is usual for seconds. */
+    @Test
+    void aRushInTheFirstReportIsSoonForgotten() {
+        Fixture f = new Fixture(Fixture.settings(1, true, true, Reporting.WITH_PROBES, false), 7);
+        f.on(new WholeList(Fixture.workers(1)));
+        f.on(new Probed("w00", Outcome.OK, 1000, Fixture.report(30, 34, 0)));
+        for (int i = 0; i < 5; i++) {
+            f.now += SECOND / 10;
+            f.on(new Probed("w00", Outcome.OK, 1000, Fixture.report(0, 0, 4)));
+        }
+        assertEquals(1, sends(f.arrive("a", "key", Fixture.READ)).size());
+    }
 }
