Drain on the operators' word, and copy workers taken out and given back by hand

Done: Server keeps what operators said (OperatorState, replaced whole in TMPDIR before the yes, told to the other process and read by the next). Drain: ready says no at once, answers to jobs carry close, after 1.8 s clients' idle connections end and jobs are refused, news goes on. Down and Up are events of the module: Book leaves such a worker out of what it picks from; after Up it is cold since the restart that the list told of while it was down, else since that moment, and one job may go there at once.

--- a/src/main/java/loomreel/decision/Book.java
+++ b/src/main/java/loomreel/decision/Book.java
@@ -26,6 +26,8 @@
     private final double memory;
     private final Model.Rules rules;
     final TreeMap<String, Worker> workers = new TreeMap<>();
+    /** Those that operators have taken out of use, listed or not, and since when. */
+    final Map<String, Long> down = new HashMap<>();
     /** W for each kind of worker, and under null for jobs that any kind runs. */
     Map<String, Worker[]> pools;
     /** Counts the lists, so that a key's ranking is made anew after a change. */
@@ -80,10 +82,11 @@
         return Arrays.stream(meanRun).average().orElse(1);
     }
 
-    /** The share of its capacity that a worker has at least; the list says when it started. */
+    /** The share of its capacity that a worker has at least; the list or an operator says when it started. */
     double warmth(Worker w, long now) {
-        double age = now - w.entry.startedAt();
-        return w.entry.startedAt() == 0 || age > rules.coldFor() * 1.1 ? 1
+        long since = Math.max(w.entry.startedAt(), w.upAt);
+        double age = now - since;
+        return since == 0 || age > rules.coldFor() * 1.1 ? 1
                 : Math.max(rules.coldFrom(), rules.coldFrom() + (1 - rules.coldFrom()) * age / rules.coldFor());
     }
 
@@ -92,6 +95,11 @@
         return Math.max(1, work(r) / meanRunOfAll());
     }
 
+    /** What a request of the dearest class takes. */
+    double largestColdCost() {
+        return Math.max(1, Arrays.stream(meanRun).max().orElse(1) / meanRunOfAll());
+    }
+
     private void noteRun(Request r, double run) {
         meanRun[r.arrival.requestClass()] += 0.03 * (run - meanRun[r.arrival.requestClass()]);
     }
@@ -173,10 +181,11 @@
         return meanWait + 4 * waitSpread;
     }
 
-    /** W for each kind of worker, and under null for jobs that any kind runs: ready, sorted by id. */
+    /** W for each kind of worker, and under null for jobs that any kind runs: ready and not down, sorted by id. */
     void rebuild() {
         version++;
-        List<Worker> ready = workers.values().stream().filter(w -> w.entry.state() == State.READY).toList();
+        List<Worker> ready = workers.values().stream()
+                .filter(w -> w.entry.state() == State.READY && !down.containsKey(w.id)).toList();
         pools = new HashMap<>();
         pools.put(null, ready.toArray(Worker[]::new));
         ready.stream().collect(Collectors.groupingBy(w -> w.entry.kind()))
@@ -258,6 +267,8 @@
         long reportAt;
         /** Samples so far; where load is reported, with one that stands for what is usual everywhere. */
         int samples;
+        /** When an operator gave it back; 0 if never. */
+        long upAt;
         /** When it last gave a sign of life. */
         long heardAt;
         long avoidUntil;
--- a/src/main/java/loomreel/decision/Brain.java
+++ b/src/main/java/loomreel/decision/Brain.java
@@ -104,6 +104,11 @@
             list(list.entries());
         } else if (event instanceof ListChanges list) {
             list(list.entries());
+        } else if (event instanceof Down down) {
+            book.down.putIfAbsent(down.worker(), now);
+            book.rebuild();
+        } else if (event instanceof Up up && book.down.containsKey(up.worker())) {
+            up(book.workers.get(up.worker()), book.down.remove(up.worker()));
         } else if (event instanceof ListLost) {
             ask(true);
         } else if (event instanceof Stop) {
@@ -113,7 +118,8 @@
 
     /** How many of the listed workers are left alone now. */
     public int avoided(long now) {
-        return (int) book.workers.values().stream().filter(w -> now < w.avoidUntil).count();
+        return (int) book.workers.values().stream()
+                .filter(w -> now < w.avoidUntil || book.down.containsKey(w.id)).count();
     }
 
     private void start(Start start) {
@@ -144,6 +150,7 @@
             Worker w = book.workers.computeIfAbsent(entry.id(), id -> new Worker(id, REPORT_LAG));
             if (w.entry == null || entry.startedAt() > w.entry.startedAt()) {
                 w.restarted(random.nextLong(1 + settings.rules().fallWithin()));
+                w.upAt = 0;
             }
             w.entry = entry;
         }
@@ -152,6 +159,20 @@
         book.rebuild();
     }
 
+    /**
+     * Operators restart what they take out, so it is cold: from now on, unless the list has told of a start in the time
+     * that it was down. One job of any class may go there at once.
+     */
+    private void up(Worker w, long downAt) {
+        if (w != null) {
+            w.restarted(random.nextLong(1 + settings.rules().fallWithin()));
+            w.upAt = w.entry.startedAt() > downAt ? 0 : now;
+            w.coldWindow = coldWindow(w);
+            w.coldLeft = book.largestColdCost();
+        }
+        book.rebuild();
+    }
+
     private void arrive(Arrival arrival) {
         RequestClass type = settings.classes().get(arrival.requestClass());
         Request r = new Request(arrival, type, ++book.lastToken);
@@ -369,7 +390,7 @@
             return true;
         }
         long length = 1 + settings.rules().fallWithin();
-        long window = (now + w.coldPhase) / length;
+        long window = coldWindow(w);
         if (window != w.coldWindow) {
             w.coldWindow = window;
             long warm = book.workers.values().stream().filter(x -> book.warmth(x, now) >= 1).count();
@@ -380,6 +401,10 @@
         return w.coldLeft >= book.coldCost(r);
     }
 
+    private long coldWindow(Worker w) {
+        return (now + w.coldPhase) / (1 + settings.rules().fallWithin());
+    }
+
     /** The first two rules, as far as they hold for any worker. */
     private boolean maySend(Request r) {
         boolean may = r.attempts.size() < settings.limits().maxAttempts() && now < r.lastMoment;
--- a/src/main/java/loomreel/decision/Model.java
+++ b/src/main/java/loomreel/decision/Model.java
@@ -139,6 +139,12 @@
     /** A probe has come back. */
     public record Probed(String worker, Outcome outcome, long took, Report report) implements Event { }
 
+    /** An operator has taken a worker out of use: nothing more goes there, whatever the list says of it. */
+    public record Down(String worker) implements Event { }
+
+    /** An operator has given a worker back; it may have restarted meanwhile. */
+    public record Up(String worker) implements Event { }
+
     /** A timer has fallen due. */
     public record TimerDue(long token) implements Event { }
 
--- a/src/main/java/loomreel/net/ClientConnection.java
+++ b/src/main/java/loomreel/net/ClientConnection.java
@@ -36,6 +36,8 @@
     private int discarded;
     /** Whether the last answer said that the request was wrong. */
     private boolean wrong;
+    /** Whether a copy worker is at the other side. */
+    private boolean bringsNews;
     private EventLoop.Timer timer;
 
     ClientConnection(EventLoop loop, SocketChannel channel, Server server) throws IOException {
@@ -45,6 +47,10 @@
         within();
     }
 
+    boolean bringsNews() {
+        return bringsNews;
+    }
+
     /** Whether something of an answer is owed or under way. */
     boolean owes() {
         return rpc != null || answering;
@@ -112,7 +118,7 @@
         String path = query < 0 ? target : target.substring(0, query);
         if (path.equals("/health/ready")) {
             boolean asks = message.method().equals("GET") || message.method().equals("HEAD");
-            answer(asks ? 200 : 405, new byte[0], asks ? null : "Allow: GET, HEAD");
+            answer(!asks ? 405 : server.takesClients() ? 200 : 503, new byte[0], asks ? null : "Allow: GET, HEAD");
         } else if (!path.equals("/_jobs/news") && !server.classes.containsKey(requestClass(path))) {
             answer(404, new byte[0], null);
         } else if (!message.method().equals("POST")) {
@@ -122,7 +128,7 @@
         } else if (!server.hasRoom()) {
             server.dispatcher.figures.settled(server.classes.get(requestClass(path)), Figures.Settled.BUSY);
             lastAnswer = true;
-            refused(new UnavailableStatus(Server.COME_BACK));
+            refused(server.noRoom());
         } else {
             job(message, server.classes.get(requestClass(path)));
             return;
@@ -183,6 +189,7 @@
             return;
         }
         server.known(this);
+        bringsNews = true;
         // Answered first: a copy worker repeats what is not answered, and the rest may take a while. What is for the
         // other process is answered once that has it: nobody would repeat what is lost on the way.
         if (server.dispatcher.holds(news.id())) {
@@ -217,7 +224,7 @@
         rpc = null;
         answering = true;
         wrong = status >= 400 && status < 500;
-        lastAnswer |= server.isClosing();
+        lastAnswer |= server.isLast(this);
         String[] close = lastAnswer ? new String[] {"Connection: close"} : new String[0];
         String[] headers = header == null ? close
                 : lastAnswer ? new String[] {header, close[0]} : new String[] {header};
--- a/src/main/java/loomreel/net/Dispatcher.java
+++ b/src/main/java/loomreel/net/Dispatcher.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import loomreel.config.ResolverResult;
 import loomreel.config.ServeConfig;
 import loomreel.decision.Brain;
@@ -61,8 +62,10 @@
         most = jobs;
     }
 
-    void start() {
+    /** Starts; {@code down} are the copy workers that operators have taken out of use. */
+    void start(Set<String> down) {
         tell(new Model.Start(config.seed(), config.settings()));
+        down.forEach(this::down);
         resolved(config.known());
         everySecond();
         logFigures();
@@ -86,6 +89,21 @@
                 + ", probes " + probes + ", of them lost " + probesLost;
     }
 
+    /** Whether the list names a copy worker. */
+    boolean lists(String worker) {
+        return subchannels.containsKey(worker);
+    }
+
+    /** Nothing more goes to a copy worker. */
+    void down(String worker) {
+        tell(new Model.Down(worker));
+    }
+
+    /** A copy worker may serve again. */
+    void up(String worker) {
+        tell(new Model.Up(worker));
+    }
+
     /** Whether nothing that was taken is still open. */
     boolean isEmpty() {
         return rpcs.values().stream().allMatch(Rpc::isOver);
--- a/src/main/java/loomreel/net/Operations.java
+++ b/src/main/java/loomreel/net/Operations.java
@@ -1,5 +1,6 @@
 package loomreel.net;
 
+import java.io.IOException;
 import java.util.Map;
 
 /** What operators may ask of a dispatcher and tell it, on the loop's thread. */
@@ -9,4 +10,19 @@
 
     /** Names and values; a value is a number, or again names and numbers. */
     Map<String, Object> figures();
+
+    /**
+     * Sends nothing more to a copy worker, or may send to it again.
+     *
+     * @return false where nobody has such an id
+     * @throws IOException if it could not be kept for the next process; nothing has changed then
+     */
+    boolean copyWorker(String id, boolean down) throws IOException;
+
+    /**
+     * Sends clients away, or takes them again.
+     *
+     * @throws IOException if it could not be kept for the next process; nothing has changed then
+     */
+    void drain(boolean on) throws IOException;
 }
--- a/src/main/java/loomreel/net/Server.java
+++ b/src/main/java/loomreel/net/Server.java
@@ -5,6 +5,7 @@
 import java.nio.channels.SelectionKey;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -19,7 +20,7 @@
 /** One real dispatcher: accepts connections, and goes when told to, empty. */
 public final class Server implements EventLoop.Handler, Operations, Sibling.Listener {
     /** What a client is told that there is no room for, in microseconds. */
-    static final long COME_BACK = 500_000;
+    private static final long COME_BACK = 500_000;
     /**
      * Descriptors that are neither a client's nor a copy worker's: files, the selector, the listener, discovery,
      * the other process and operators.
@@ -53,6 +54,11 @@
     private static final long LONGEST = 3_000_000;
     /** What is left of that for the last answers to go out. */
     private static final long LAST_ANSWERS = 200_000;
+    /**
+     * After operators have had clients sent away, idle connections are kept and jobs are taken this much longer: the
+     * front needs 0.2 s to notice, and after 2 s no job may come in any more.
+     */
+    private static final long LET_GO = 1_800_000;
     private static final long LOOK_EVERY = 20_000;
     private static final long ACCEPT_AGAIN = 100_000;
 
@@ -81,6 +87,12 @@
     private boolean paused;
     private boolean accepting = true;
     private boolean started;
+    /** What operators have said, and where it is kept; null where there is no such place. */
+    private OperatorState state;
+    private final Path stateFile;
+    /** Runs from the start of a drain of clients until they are let go. */
+    private EventLoop.Timer letGo;
+    private boolean clientsGone;
     private boolean closing;
 
     /**
@@ -101,14 +113,22 @@
         listener = config.inherited() ? inherited() : bound(config);
         listener.configureBlocking(false);
         // Before anything is accepted: the first call-back may be meant for the other process.
-        sibling = config.inherited() && config.directory() != null ? new Sibling(loop,
-                config.directory().resolve(config.name().replaceAll("[^A-Za-z0-9_-]", "_") + ".sock"), this) : null;
+        sibling = config.inherited() && config.directory() != null ? new Sibling(loop, file("sock"), this) : null;
+        // After the tie is up, so that what operators say from now on comes that way.
+        stateFile = config.directory() == null ? null : file("state");
+        state = OperatorState.read(stateFile);
+        clientsGone = state.drained();
         share();
         key = listener.register(loop.selector, SelectionKey.OP_ACCEPT, this);
         log.info(config.name() + " listens on " + listener.getLocalAddress() + ", " + config.known().entries().size()
                 + " copy workers known");
     }
 
+    /** A name in the directory that the processes of this dispatcher share. */
+    private Path file(String kind) {
+        return config.directory().resolve(config.name().replaceAll("[^A-Za-z0-9_-]", "_") + "." + kind);
+    }
+
     private static ServerSocketChannel bound(ServeConfig config) throws IOException {
         ServerSocketChannel listener = ServerSocketChannel.open();
         listener.setOption(StandardSocketOptions.SO_REUSEADDR, true);
@@ -159,13 +179,70 @@
     }
 
     @Override
-    public void tied() {
+    public boolean copyWorker(String id, boolean down) throws IOException {
+        boolean known = dispatcher.lists(id) || state.down().contains(id);
+        if (known && state.down().contains(id) != down) {
+            change(state.with(id, down), down ? "down" : "up", id);
+        }
+        return known;
+    }
+
+    @Override
+    public void drain(boolean on) throws IOException {
+        if (state.drained() != on) {
+            change(state.with(on), on ? "drain" : "serve", "");
+        }
+    }
+
+    private void change(OperatorState next, String what, String text) throws IOException {
+        next.keep(stateFile);
+        apply(next);
+        if (sibling != null) {
+            sibling.tell(what, text);
+        }
+    }
+
+    /** Makes what operators have said so, in so far as it is new. */
+    private void apply(OperatorState next) {
+        OperatorState before = state;
+        state = next;
+        next.down().stream().filter(id -> !before.down().contains(id)).forEach(dispatcher::down);
+        before.down().stream().filter(id -> !next.down().contains(id)).forEach(dispatcher::up);
+        if (next.drained() != before.drained()) {
+            if (letGo != null) {
+                letGo.cancel();
+            }
+            clientsGone = false;
+            letGo = !next.drained() ? null : loop.at(loop.now() + LET_GO, () -> {
+                clientsGone = true;
+                new ArrayList<>(idle).stream().filter(c -> !c.bringsNews()).forEach(ClientConnection::close);
+            });
+        }
+    }
+
+    @Override
+    public void tied(boolean newer) {
         share();
+        if (newer) {
+            // It may have read the file just before the last change to it.
+            sibling.tell("state", state.text());
+        }
     }
 
     @Override
     public void told(String what, String text) {
-        log.warn("the other process says what is not known here: " + what);
+        OperatorState next = switch (what) {
+            case "down", "up" -> state.with(text, what.equals("down"));
+            case "drain", "serve" -> state.with(what.equals("drain"));
+            default -> OperatorState.of(text);
+        };
+        try {
+            // Both keep it: two changes may cross, and the file must then hold both.
+            next.keep(stateFile);
+        } catch (IOException e) {
+            log.warn("what the other process was told is not kept: " + e.getMessage());
+        }
+        apply(next);
     }
 
     @Override
@@ -193,7 +270,7 @@
      * @throws IOException if the selector fails
      */
     public void run() throws IOException {
-        dispatcher.start();
+        dispatcher.start(state.down());
         started = true;
         logFigures();
         loop.run();
@@ -265,11 +342,16 @@
 
     /** Whether another job may be taken. */
     boolean hasRoom() {
-        boolean room = dispatcher.hasRoom();
+        boolean room = !clientsGone && dispatcher.hasRoom();
         noRoom += room ? 0 : 1;
         return room;
     }
 
+    /** What a job is told that is not taken: while clients are sent away, others have room for it now. */
+    UnavailableStatus noRoom() {
+        return new UnavailableStatus(clientsGone ? 0 : COME_BACK);
+    }
+
     private void leaveWhenEmpty() {
         if (dispatcher.isEmpty() && clients.stream().noneMatch(ClientConnection::owes)) {
             loop.stop();
@@ -278,9 +360,14 @@
         }
     }
 
-    /** Whether every answer is the last one on its connection. */
-    boolean isClosing() {
-        return closing;
+    /** Whether every answer is the last one on its connection; copy workers keep theirs while clients are sent away. */
+    boolean isLast(ClientConnection connection) {
+        return closing || state.drained() && !connection.bringsNews();
+    }
+
+    /** Whether clients should come here. */
+    boolean takesClients() {
+        return !state.drained();
     }
 
     @Override
--- a/src/main/java/loomreel/net/Sibling.java
+++ b/src/main/java/loomreel/net/Sibling.java
@@ -26,8 +26,8 @@
 final class Sibling implements EventLoop.Handler {
     /** Who hears what the other process has to say. */
     interface Listener {
-        /** A tie has come up or gone. */
-        void tied();
+        /** A tie has come up, to a newer process or not, or has gone. */
+        void tied(boolean newer);
 
         /** Something that needs no answer. */
         void told(String what, String text);
@@ -106,7 +106,7 @@
             if (next != null) {
                 links.add(new Link(next, true));
                 log.info("tied to the process that takes over");
-                listener.tied();
+                listener.tied(true);
             }
         } catch (IOException e) {
             log.warn("cannot tie: " + e.getMessage());
@@ -178,7 +178,7 @@
                 links.remove(this);
                 new ArrayList<>(awaited.values()).forEach(Runnable::run);
                 log.info("the other process has gone");
-                listener.tied();
+                listener.tied(false);
             }
         }
     }
--- a/src/main/java/loomreel/ops/OpsConnection.java
+++ b/src/main/java/loomreel/ops/OpsConnection.java
@@ -6,17 +6,25 @@
 import java.io.IOException;
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.Map;
 import loomreel.http.BadMessageException;
 import loomreel.http.Heads;
 import loomreel.http.Message;
 import loomreel.net.Connection;
 import loomreel.net.EventLoop;
+import loomreel.net.Operations;
 
 /** One call of an operator's: it is answered at once, and the connection ends. */
 final class OpsConnection extends Connection {
     /** How long the call may take to come in, and then the other side's close. */
     private static final long PATIENCE = 2_000_000;
+    private static final String READINESS = "/ops/readiness";
+    private static final String STATS = "/ops/stats";
+    private static final String DOWN = "/ops/copy-workers/down";
+    private static final String UP = "/ops/copy-workers/up";
+    private static final String DRAIN = "/ops/drain/start";
+    private static final String SERVE = "/ops/drain/stop";
     private static final JsonFactory JSON = new JsonFactory();
 
     private final OpsServer server;
@@ -38,18 +46,42 @@
     protected void received(Message message) {
         String body = new String(message.body().toArray(), StandardCharsets.UTF_8).strip();
         message.body().release();
-        boolean asks = message.method().equals("GET");
-        boolean tells = message.method().equals("POST");
-        switch (message.target()) {
-            case "/ops/readiness" -> yes(asks, server.operations.isReady() ? 200 : 503, "");
-            case "/ops/stats" -> yes(asks, 200, json(server.operations.figures()));
-            default -> answer(404, "");
+        String call = message.target();
+        String method = switch (call) {
+            case READINESS, STATS -> "GET";
+            case DOWN, UP, DRAIN, SERVE -> "POST";
+            default -> "";
+        };
+        if (method.isEmpty()) {
+            answer(404, "");
+        } else if (!message.method().equals(method)) {
+            answer(405, "", "Allow: " + method);
+        } else {
+            call(call, body);
         }
     }
 
-    /** Answers a call, if its method was the right one. */
-    private void yes(boolean method, int status, String body) {
-        answer(method ? status : 405, method ? body : "");
+    private void call(String call, String body) {
+        Operations operations = server.operations;
+        try {
+            switch (call) {
+                case READINESS -> answer(operations.isReady() ? 200 : 503, "");
+                case STATS -> answer(200, json(operations.figures()), "Content-Type: application/json");
+                case DOWN, UP -> {
+                    boolean known = operations.copyWorker(body, call.equals(DOWN));
+                    server.log.info(call + " " + body + (known ? "" : ": nobody has this id"));
+                    answer(known ? 200 : 404, "");
+                }
+                default -> {
+                    server.log.info(call);
+                    operations.drain(call.equals(DRAIN));
+                    answer(200, "");
+                }
+            }
+        } catch (IOException e) {
+            server.log.warn(call + " cannot be kept, so it is not done: " + e.getMessage());
+            answer(500, "");
+        }
     }
 
     private static String json(Map<?, ?> figures) {
@@ -75,14 +107,16 @@
         json.writeEndObject();
     }
 
-    private void answer(int status, String body) {
+    private void answer(int status, String body, String... headers) {
         if (answered) {
             close();
             return;
         }
         answered = true;
         byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
-        out.append(Heads.response(status, bytes.length, "Connection: close"));
+        String[] all = Arrays.copyOf(headers, headers.length + 1);
+        all[headers.length] = "Connection: close";
+        out.append(Heads.response(status, bytes.length, all));
         out.append(bytes);
         timer.cancel();
         timer = loop.at(loop.now() + PATIENCE, this::close);
