--- a/src/main/java/loomreel/decision/Brain.java
+++ b/src/main/java/loomreel/decision/Brain.java
@@ -160,8 +160,8 @@
     }
 
     /**
-     * Operators restart what they take out, so it is cold: from now on, unless the list has told of a start in the time
-     * that it was down. One job of any class may go there at once.
+     * Operators restart what they take out, so it is cold: from now on, unless the list has told of a start
+     * in the time that it was down. One job of any class may go there at once.
      */
     private void up(Worker w, long downAt) {
         if (w != null) {
