--- a/src/test/java/loomreel/net/RealProgram.java
+++ b/src/test/java/loomreel/net/RealProgram.java
@@ -1,6 +1,7 @@
 package loomreel.net;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.BufferedReader;
 import java.io.IOException;
@@ -12,6 +13,7 @@
 import java.util.function.UnaryOperator;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import java.util.stream.Stream;
 
 /** The program as a process of its own, with discovery and copy workers that the test plays. */
 final class RealProgram implements AutoCloseable {
@@ -31,12 +33,26 @@
     private final BufferedReader log;
     private final int port;
     private final Path file = Files.createTempFile("loomreel", ".json");
+    private final Path directory = Files.createTempDirectory("loomreel");
+    /** The processes that the platform has started, and where each hears operators. */
+    final List<ProcessHandle> started = new ArrayList<>();
+    final List<Integer> operators = new ArrayList<>();
 
     RealProgram(int workerCount, boolean probing) throws IOException {
         this(workerCount, probing, settings -> settings);
     }
 
     RealProgram(int workerCount, boolean probing, UnaryOperator<String> change) throws IOException {
+        this(workerCount, probing, change, false);
+    }
+
+    /** One that operators look after; where the platform holds the listener, it can be started beside itself. */
+    static RealProgram operated(int workerCount, boolean platform) throws IOException {
+        return new RealProgram(workerCount, false, c -> c.replace("{\"name\"", "{\"mgmt\":\"127.0.0.1:0\",\"name\""), platform);
+    }
+
+    private RealProgram(int workerCount, boolean probing, UnaryOperator<String> change, boolean platform)
+            throws IOException {
         for (int i = 0; i < workerCount; i++) {
             workers.add(new Http.Peer());
         }
@@ -44,11 +60,57 @@
                 + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},"
                 + "\"known\":" + list(41, true, "SERVING") + ",\"settings\":"
                 + String.format(SETTINGS, probing, probing ? "probe" : "none") + "}"));
-        process = start(file, "serve", discovery.address());
+        ProcessBuilder builder = builder(file, "serve", discovery.address());
+        builder.environment().put("TMPDIR", directory.toString());
+        if (platform) {
+            builder.environment().put("BALANCER_LISTEN_FD", "0");
+            builder.command().addAll(builder.command().indexOf("loomreel.cli.Main"),
+                    List.of(Platform.class.getName(), builder.command().get(0), "-cp", System.getProperty("java.class.path")));
+        }
+        process = builder.start();
         log = process.errorReader();
-        Matcher listens = Pattern.compile("listens on /127.0.0.1:(\\d+)").matcher(awaitLog("listens on"));
-        listens.find();
-        port = Integer.parseInt(listens.group(1));
+        if (platform) {
+            startAnother();
+        }
+        port = port("listens on");
+        if (change.apply("{\"name\"").contains("mgmt")) {
+            operators.add(port("operators are heard on"));
+        }
+    }
+
+    private void startAnother() throws IOException {
+        process.outputWriter().append('\n').flush();
+        started.add(ProcessHandle.of(Long.parseLong(process.inputReader().readLine())).orElseThrow());
+    }
+
+    /** Starts the program beside itself, as an upgrade does, and waits until it is ready. */
+    void upgrade() throws IOException {
+        startAnother();
+        operators.add(port("operators are heard on"));
+        assertEquals(200, operate(started.size() - 1, "GET", "readiness", "").status());
+    }
+
+    private int port(String where) throws IOException {
+        Matcher port = Pattern.compile(where + " /127.0.0.1:(\\d+)").matcher(awaitLog(where));
+        assertTrue(port.find());
+        return Integer.parseInt(port.group(1));
+    }
+
+    /** An operator's call to one of the processes. */
+    Http.Message operate(int process, String method, String call, String body) throws IOException {
+        try (Socket socket = connect(operators.get(process))) {
+            Http.write(socket, method + " /ops/" + call + " HTTP/1.1\r\nHost: x\r\nContent-Length: " + body.length()
+                    + "\r\n\r\n" + body);
+            return Http.read(socket);
+        }
+    }
+
+    /** What the figures say, where {@code name} is followed by a number, or by a class and a number. */
+    int figure(int process, String name) throws IOException {
+        String all = operate(process, "GET", "stats", "").body();
+        Matcher figure = Pattern.compile("\"" + name.replace(".", "\":\\{[^}]*\"") + "\":(\\d+)").matcher(all);
+        assertTrue(figure.find(), name + " in " + all);
+        return Integer.parseInt(figure.group(1));
     }
 
     /** Replaces discovery by another one that the configuration now names, and says so to the program. */
@@ -69,12 +131,16 @@
     }
 
     static Process start(Path config, String command, String discovery) throws IOException {
+        return builder(config, command, discovery).start();
+    }
+
+    static ProcessBuilder builder(Path config, String command, String discovery) {
         ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), "loomreel.cli.Main", command);
         builder.environment().keySet().removeIf(name -> name.startsWith("BALANCER_"));
         builder.environment().put("BALANCER_CONFIG", config.toString());
         builder.environment().put("BALANCER_DISCOVERY", discovery);
-        return builder.start();
+        return builder;
     }
 
     /** All copy workers, w0, w1 and so on, in the given states; where none is left the last one serves on. */
@@ -100,6 +166,10 @@
     }
 
     Socket connect() throws IOException {
+        return connect(port);
+    }
+
+    Socket connect(int port) throws IOException {
         Socket socket = new Socket("127.0.0.1", port);
         socket.setSoTimeout(Http.PATIENCE_MS);
         return socket;
@@ -145,7 +215,18 @@
 
     @Override
     public void close() throws IOException {
-        process.destroyForcibly().onExit().join();
+        if (started.isEmpty()) {
+            process.destroyForcibly();
+        } else {
+            process.outputWriter().close();
+        }
+        process.onExit().join();
+        try (Stream<Path> left = Files.list(directory)) {
+            for (Path path : left.toList()) {
+                Files.delete(path);
+            }
+        }
+        Files.delete(directory);
         Files.delete(file);
         discovery.close();
         for (Http.Peer worker : workers) {
