Give cold workers a budget by their own slots, so that a mostly cold fleet is not left idle

Checked, as the module gave jobs up: seven of nine workers were cold (a release of the copy workers, restarts by operators), reported no load and might get nothing, while the two warm ones stood at 1.2 to 1.5. At fault: Brain.coldAllows measured their share by what this node had sent to warm ones in 10 s, which is next to nothing in a process that has just started, and less the more it refuses. Ruled out: lost connections (none), operators' calls (none late), room, limits. Done: the share is the larger of that and of what the worker's own slots do at the least (0.45 a slot, evenly over nodes, 0.8 of the tipping load); it fills evenly in place of by windows, a job takes the work it is said to be, a heavy one is paid for by later ones. While two processes serve as one node each has half of it (Model.Beside).

--- a/src/main/java/loomreel/decision/Book.java
+++ b/src/main/java/loomreel/decision/Book.java
@@ -90,14 +90,14 @@
                 : Math.max(rules.coldFrom(), rules.coldFrom() + (1 - rules.coldFrom()) * age / rules.coldFor());
     }
 
-    /** What a request takes of a cold worker's leave, in jobs of mean size; at least one. */
+    /** What a request takes of a cold worker's leave: the work that it is said to be, or that of its class. */
     double coldCost(Request r) {
-        return Math.max(1, work(r) / meanRunOfAll());
+        return Double.isNaN(r.arrival.work()) ? work(r) : r.arrival.slots() * r.arrival.work();
     }
 
-    /** What a request of the dearest class takes. */
-    double largestColdCost() {
-        return Math.max(1, Arrays.stream(meanRun).max().orElse(1) / meanRunOfAll());
+    /** The work of a mean request of the dearest class. */
+    double largestWork() {
+        return Arrays.stream(meanRun).max().orElse(1);
     }
 
     private void noteRun(Request r, double run) {
@@ -255,10 +255,9 @@
         Entry entry;
         /** Its place under the hash that is being ranked. */
         double score;
-        /** Where this node's windows for a cold worker begin, the window it is in and what may still be sent in it. */
-        long coldPhase;
-        long coldWindow;
+        /** The work that may be sent while it is cold, and when that was reckoned. */
         double coldLeft;
+        long coldAt;
         /** Slots as learned from reports; 0 while unknown. */
         double slots;
         /** Load in the last report, as a share of the slots, and its mean over the reports so far. */
@@ -287,9 +286,9 @@
             this.ownSince = new Fading(reportLag);
         }
 
-        void restarted(long phase) {
-            coldPhase = phase;
-            coldWindow = -1;
+        void restarted(long now, double left) {
+            coldLeft = left;
+            coldAt = now;
             avoidUntil = NEVER;
             backoff = 0;
             reportAt = NEVER;
--- a/src/main/java/loomreel/decision/Brain.java
+++ b/src/main/java/loomreel/decision/Brain.java
@@ -44,8 +44,11 @@
     private static final double TYPICAL = 0.4;
     /** Machines differ; one that takes this much longer than all of them is loaded more, by what is above. */
     private static final double SLOW = 1.25;
-    /** The share of the tipping load that goes to a cold worker: windows may bunch and jobs may be heavy. */
+    /** The share of the tipping load that goes to a cold worker: by what warm ones get, by its own slots. */
     private static final double COLD_MARGIN = 0.33;
+    private static final double COLD_SURE = 0.8;
+    /** The work that a slot of the slowest machine does in its time, where the jobs in slots share cores. */
+    private static final double LEAST_SPEED = 0.45;
     /** No more than this share of the workers is avoided at a time, or the rest would drown. */
     private static final double AVOID_MOST = 1 / 3.0;
     /** Tokens of the two timers that are not a request's. */
@@ -58,6 +61,8 @@
     private long now;
     private List<Action> actions;
     private Book book;
+    /** How many processes serve as this node. */
+    private int processes = 1;
 
     /** A node that has not started. */
     public Brain() { }
@@ -109,6 +114,8 @@
             book.rebuild();
         } else if (event instanceof Up up && book.down.containsKey(up.worker())) {
             up(book.workers.get(up.worker()), book.down.remove(up.worker()));
+        } else if (event instanceof Beside beside) {
+            processes = beside.other() ? 2 : 1;
         } else if (event instanceof ListLost) {
             ask(true);
         } else if (event instanceof Stop) {
@@ -149,7 +156,8 @@
         for (Entry entry : entries) {
             Worker w = book.workers.computeIfAbsent(entry.id(), id -> new Worker(id, REPORT_LAG));
             if (w.entry == null || entry.startedAt() > w.entry.startedAt()) {
-                w.restarted(random.nextLong(1 + settings.rules().fallWithin()));
+                // Nodes hear of it together, and must not all send their first job at once.
+                w.restarted(now, random.nextDouble() * book.largestWork() / settings.nodes());
                 w.upAt = 0;
             }
             w.entry = entry;
@@ -165,10 +173,8 @@
      */
     private void up(Worker w, long downAt) {
         if (w != null) {
-            w.restarted(random.nextLong(1 + settings.rules().fallWithin()));
+            w.restarted(now, book.largestWork());
             w.upAt = w.entry.startedAt() > downAt ? 0 : now;
-            w.coldWindow = coldWindow(w);
-            w.coldLeft = book.largestColdCost();
         }
         book.rebuild();
     }
@@ -381,28 +387,26 @@
     }
 
     /**
-     * Guards the fourth rule: nodes that each send a cold worker what they send a warm one on average, times
-     * its present capacity, stay together under the tipping load, however many they are.
+     * Guards the fourth rule: what all nodes together send a cold worker in any time in which it could fall
+     * over stays under the tipping load. A node's part fills evenly, so that no bunch of jobs spends it at
+     * once; a heavy job may go when it is full, and is paid for by those after it.
      */
     private boolean coldAllows(Request r, Worker w) {
         double warmth = book.warmth(w, now);
         if (warmth >= 1) {
             return true;
         }
-        long length = 1 + settings.rules().fallWithin();
-        long window = coldWindow(w);
-        if (window != w.coldWindow) {
-            w.coldWindow = window;
-            long warm = book.workers.values().stream().filter(x -> book.warmth(x, now) >= 1).count();
-            double even = book.workSent.at(now) / MEMORY / Math.max(warm, 1 + book.workers.size() / 2);
-            double share = even * length * warmth * settings.rules().tipMultiple() * COLD_MARGIN;
-            w.coldLeft = Math.floor(share / book.meanRunOfAll() + random.nextDouble());
-        }
-        return w.coldLeft >= book.coldCost(r);
-    }
-
-    private long coldWindow(Worker w) {
-        return (now + w.coldPhase) / (1 + settings.rules().fallWithin());
+        // Either is safe by itself: what a warm worker gets on average, and what its own slots do at least.
+        // The first alone fails a fleet that is mostly cold, and a node that has sent little so far.
+        long warm = book.workers.values().stream().filter(x -> book.warmth(x, now) >= 1).count();
+        double even = book.workSent.at(now) / MEMORY / Math.max(warm, 1 + book.workers.size() / 2);
+        double sure = w.slots * LEAST_SPEED / settings.nodes();
+        double rate = warmth * settings.rules().tipMultiple() / processes
+                * Math.max(COLD_MARGIN * even, COLD_SURE * sure);
+        double most = Math.max(book.largestWork(), rate * settings.rules().fallWithin() / 4);
+        w.coldLeft = Math.min(most, w.coldLeft + rate * (now - w.coldAt));
+        w.coldAt = now;
+        return w.coldLeft >= Math.min(most, book.coldCost(r));
     }
 
     /** The first two rules, as far as they hold for any worker. */
--- a/src/main/java/loomreel/decision/Model.java
+++ b/src/main/java/loomreel/decision/Model.java
@@ -145,6 +145,9 @@
     /** An operator has given a worker back; it may have restarted meanwhile. */
     public record Up(String worker) implements Event { }
 
+    /** Whether another process serves as this same node, and has half of what the node may do. */
+    public record Beside(boolean other) implements Event { }
+
     /** A timer has fallen due. */
     public record TimerDue(long token) implements Event { }
 
--- a/src/main/java/loomreel/net/Dispatcher.java
+++ b/src/main/java/loomreel/net/Dispatcher.java
@@ -94,6 +94,11 @@
         return subchannels.containsKey(worker);
     }
 
+    /** Whether another process of this dispatcher serves beside this one. */
+    void beside(boolean other) {
+        tell(new Model.Beside(other));
+    }
+
     /** Nothing more goes to a copy worker. */
     void down(String worker) {
         tell(new Model.Down(worker));
--- a/src/main/java/loomreel/net/Server.java
+++ b/src/main/java/loomreel/net/Server.java
@@ -223,6 +223,7 @@
     @Override
     public void tied(boolean newer) {
         share();
+        dispatcher.beside(isTied());
         if (newer) {
             // It may have read the file just before the last change to it.
             sibling.tell("state", state.text());
@@ -271,6 +272,7 @@
      */
     public void run() throws IOException {
         dispatcher.start(state.down());
+        dispatcher.beside(isTied());
         started = true;
         logFigures();
         loop.run();
--- a/src/test/java/loomreel/decision/RulesTest.java
+++ b/src/test/java/loomreel/decision/RulesTest.java
@@ -193,4 +193,29 @@
         f.ended("a", 0, send.worker(), Outcome.OK);
         assertTrue(f.ended("a", 0, send.worker(), Outcome.ERROR).isEmpty());
     }
+
+    /** A node that has just started, beside workers that have too, must send them something, but not more than is safe. */
+    @Test
+    void aFleetThatIsAllColdGetsWhatItsSlotsAreGoodFor() {
+        Fixture f = new Fixture(Fixture.settings(1, true, true, Reporting.WITH_PROBES, false), 7);
+        f.on(new WholeList(List.of(Fixture.worker(0, State.READY, f.now), Fixture.worker(1, State.READY, f.now))));
+        double work = 0;
+        double capacity = 0;
+        for (int i = 0; i < 200; i++) {
+            f.now += SECOND / 100;
+            for (String worker : List.of("w00", "w01")) {
+                f.on(new Probed(worker, Outcome.OK, 1000, Fixture.report(0, 0, 4)));
+            }
+            // Slots do 0.45 of the work at the least; a cold worker is good for 0.2 of that, and more by the second.
+            capacity += 2 * 4 * 0.45 * (0.2 + 0.8 * i / 2000) * SECOND / 100;
+            String id = "r" + i;
+            List<Send> sent = sends(f.on(new Arrival(id, null, 1, Fixture.READ, -1, f.now + 10 * SECOND, false, 20_000)));
+            work += sent.size() * 20_000;
+            for (Send send : sent) {
+                f.ended(id, 0, send.worker(), Outcome.OK);
+            }
+        }
+        assertTrue(work > capacity, "sent " + work + " of " + capacity);
+        assertTrue(work < Fixture.RULES.tipMultiple() * capacity, "sent " + work + " of " + capacity);
+    }
 }
