Keep an id in use once over both processes, and let go of what is overdue without an attempt

While two processes serve as one dispatcher, a request with the id of one that the other holds was taken: both would have handed it to copy workers. Each now tells the other which ids it holds, all of them as the tie comes up. Not chosen: asking the other process before each job is taken, which would cost every job a round trip for a rare mistake. OpsTest.anUpgradeLosesNothingAndForgetsNothing has it (400, as within one process). Found on the way: Dispatcher.overdue never forgot a request that had no attempt, so its id stayed in use.

--- a/src/main/java/loomreel/net/ClientConnection.java
+++ b/src/main/java/loomreel/net/ClientConnection.java
@@ -149,7 +149,7 @@
         double cost = hint == null ? Double.NaN : number(hint);
         // What the module adds up must be sound: one job of 1e300 would drown all others in its figures.
         if (id == null || !id.matches("[0-9a-fA-F]{16}") || budget == null || !budget.matches("[0-9]{1,9}")
-                || slots < 0 || cost < 0 || server.dispatcher.holds(id)) {
+                || slots < 0 || cost < 0 || server.dispatcher.inUse(id)) {
             message.body().release();
             answer(400, new byte[0], null);
             return;
--- a/src/main/java/loomreel/net/Dispatcher.java
+++ b/src/main/java/loomreel/net/Dispatcher.java
@@ -4,6 +4,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -31,6 +32,9 @@
     private final Peer.Descriptors descriptors;
     private final KeepAlive keepAlive;
     private final Map<String, Rpc> rpcs = new HashMap<>();
+    /** The ids that the other process of this dispatcher holds: an id is in use once, wherever that is. */
+    private final Set<String> heldBeside = new HashSet<>();
+    private Sibling sibling;
     private final Map<String, Subchannel> subchannels = new HashMap<>();
     /** The module answers one event before it hears the next, also of what its own answer caused. */
     private final ArrayDeque<Event> events = new ArrayDeque<>();
@@ -96,6 +100,11 @@
 
     /** Whether another process of this dispatcher serves beside this one. */
     void beside(boolean other) {
+        if (other) {
+            rpcs.keySet().forEach(id -> sibling.tell("holds", id));
+        } else {
+            heldBeside.clear();
+        }
         tell(new Model.Beside(other));
     }
 
@@ -125,15 +134,37 @@
         return rpcs.size() < most;
     }
 
-    /** Whether an RPC of that id is on its way. */
+    /** Whether an RPC of that id is on its way here. */
     boolean holds(String id) {
         return rpcs.containsKey(id);
     }
 
+    /** Whether an RPC of that id is on its way here or in the other process. */
+    boolean inUse(String id) {
+        return holds(id) || heldBeside.contains(id);
+    }
+
+    /** Says to the other process from now on which ids are in use here. */
+    void tie(Sibling to) {
+        sibling = to;
+    }
+
+    /** The other process holds an id, or no longer. */
+    void heldBeside(String id, boolean held) {
+        if (held) {
+            heldBeside.add(id);
+        } else {
+            heldBeside.remove(id);
+        }
+    }
+
     /** Takes an RPC; from here on it gets one answer. */
     void take(Rpc rpc, Model.Arrival arrival) {
         taken++;
         rpcs.put(rpc.id, rpc);
+        if (sibling != null) {
+            sibling.tell("holds", rpc.id);
+        }
         loop.at(Math.min(leaveBy, rpc.deadline + config.answerSlack()), () -> overdue(rpc));
         tell(arrival);
     }
@@ -153,6 +184,8 @@
                     + " failed");
             rpc.fail();
             tell(new Model.Withdrawn(rpc.id));
+            // Without an attempt nothing else would ever let go of it.
+            forget(rpc);
         }
     }
 
@@ -310,8 +343,8 @@
     }
 
     private void forget(Rpc rpc) {
-        if (rpc.isDone()) {
-            rpcs.remove(rpc.id, rpc);
+        if (rpc.isDone() && rpcs.remove(rpc.id, rpc) && sibling != null) {
+            sibling.tell("frees", rpc.id);
         }
     }
 }
--- a/src/main/java/loomreel/net/Server.java
+++ b/src/main/java/loomreel/net/Server.java
@@ -114,6 +114,7 @@
         listener.configureBlocking(false);
         // Before anything is accepted: the first call-back may be meant for the other process.
         sibling = config.inherited() && config.directory() != null ? new Sibling(loop, file("sock"), this) : null;
+        dispatcher.tie(sibling);
         // After the tie is up, so that what operators say from now on comes that way.
         stateFile = config.directory() == null ? null : file("state");
         state = OperatorState.read(stateFile);
@@ -232,6 +233,10 @@
 
     @Override
     public void told(String what, String text) {
+        if (what.equals("holds") || what.equals("frees")) {
+            dispatcher.heldBeside(text, what.equals("holds"));
+            return;
+        }
         OperatorState next = switch (what) {
             case "down", "up" -> state.with(text, what.equals("down"));
             case "drain", "serve" -> state.with(what.equals("drain"));
--- a/src/test/java/loomreel/net/OpsTest.java
+++ b/src/test/java/loomreel/net/OpsTest.java
@@ -153,6 +153,8 @@
             assertEquals(200, program.operate(0, "POST", "copy-workers/down", "w0").status());
             RealProgram.Job held = program.job("/issue", "");
             program.workers.get(1).next().answer(202, "");
+            RealProgram.Job late = program.job("/issue", "");
+            program.workers.get(1).next().answer(202, "");
             RealProgram.Job idle = program.job("/copy", "");
             program.serve(1, "r");
             assertEquals("r", idle.answer().body());
@@ -174,11 +176,15 @@
             Http.Message answer = held.answer();
             assertEquals("passed on", answer.body());
             assertEquals("close", answer.header("Connection"));
+            assertEquals(400, program.request("POST /copy HTTP/1.1\r\nHost: x\r\nX-Budget-Ms: 900\r\nX-Call-Id: " + late.id()
+                    + "\r\n", "").status(), "the old process holds this id");
             idle = program.job(idle.socket(), "/copy", 20_000, "");
             program.serve(1, "kept");
             answer = idle.answer();
             assertEquals("kept", answer.body());
             assertEquals("close", answer.header("Connection"));
+            assertEquals(200, program.news(late.id(), "w1", "done", ",\"result\":\"\""));
+            assertEquals(200, late.answer().status());
             program.started.get(0).onExit().get(Http.PATIENCE_MS, TimeUnit.MILLISECONDS);
             assertEquals(200, program.operate(1, "POST", "drain/start", "").status());
             program.upgrade();
