Give the successor the whole budget for cold workers as soon as the old process leaves

Done: SIGTERM with a successor takes the old process's part to nothing and tells the successor (Model.Part).

--- a/src/main/java/loomreel/decision/Brain.java
+++ b/src/main/java/loomreel/decision/Brain.java
@@ -61,8 +61,8 @@
     private long now;
     private List<Action> actions;
     private Book book;
-    /** How many processes serve as this node. */
-    private int processes = 1;
+    /** This process's part of what the node may send to cold workers. */
+    private double part = 1;
 
     /** A node that has not started. */
     public Brain() { }
@@ -114,8 +114,8 @@
             book.rebuild();
         } else if (event instanceof Up up && book.down.containsKey(up.worker())) {
             up(book.workers.get(up.worker()), book.down.remove(up.worker()));
-        } else if (event instanceof Beside beside) {
-            processes = beside.other() ? 2 : 1;
+        } else if (event instanceof Part mine) {
+            part = mine.part();
         } else if (event instanceof ListLost) {
             ask(true);
         } else if (event instanceof Stop) {
@@ -401,7 +401,7 @@
         long warm = book.workers.values().stream().filter(x -> book.warmth(x, now) >= 1).count();
         double even = book.workSent.at(now) / MEMORY / Math.max(warm, 1 + book.workers.size() / 2);
         double sure = w.slots * LEAST_SPEED / settings.nodes();
-        double rate = warmth * settings.rules().tipMultiple() / processes
+        double rate = part * warmth * settings.rules().tipMultiple()
                 * Math.max(COLD_MARGIN * even, COLD_SURE * sure);
         double most = Math.max(book.largestWork(), rate * settings.rules().fallWithin() / 4);
         w.coldLeft = Math.min(most, w.coldLeft + rate * (now - w.coldAt));
--- a/src/main/java/loomreel/decision/Model.java
+++ b/src/main/java/loomreel/decision/Model.java
@@ -145,8 +145,8 @@
     /** An operator has given a worker back; it may have restarted meanwhile. */
     public record Up(String worker) implements Event { }
 
-    /** Whether another process serves as this same node, and has half of what the node may do. */
-    public record Beside(boolean other) implements Event { }
+    /** The part of what the node may send to cold workers that is this process's, while another serves as the same node. */
+    public record Part(double part) implements Event { }
 
     /** A timer has fallen due. */
     public record TimerDue(long token) implements Event { }
--- a/src/main/java/loomreel/net/Dispatcher.java
+++ b/src/main/java/loomreel/net/Dispatcher.java
@@ -105,7 +105,12 @@
         } else {
             heldBeside.clear();
         }
-        tell(new Model.Beside(other));
+        part(other ? 0.5 : 1);
+    }
+
+    /** The part of this dispatcher's leave for cold copy workers that this process may use. */
+    void part(double part) {
+        tell(new Model.Part(part));
     }
 
     /** Nothing more goes to a copy worker. */
--- a/src/main/java/loomreel/net/Server.java
+++ b/src/main/java/loomreel/net/Server.java
@@ -233,10 +233,14 @@
 
     @Override
     public void told(String what, String text) {
-        if (what.equals("holds") || what.equals("frees")) {
-            dispatcher.heldBeside(text, what.equals("holds"));
-            return;
+        switch (what) {
+            case "holds", "frees" -> dispatcher.heldBeside(text, what.equals("holds"));
+            case "leaving" -> dispatcher.part(1);
+            default -> toldByOperators(what, text);
         }
+    }
+
+    private void toldByOperators(String what, String text) {
         OperatorState next = switch (what) {
             case "down", "up" -> state.with(text, what.equals("down"));
             case "drain", "serve" -> state.with(what.equals("drain"));
@@ -297,6 +301,8 @@
                 accepting = false;
                 closing = true;
                 key.cancel();
+                dispatcher.part(0);
+                sibling.tell("leaving", "");
             }
             long longest = config.settings().classes().stream().mapToLong(Model.RequestClass::deadline).max().orElse(0);
             dispatcher.leaveBy(loop.now() + Math.min(LONGEST, longest) + KILLED_AFTER - LAST_ANSWERS);
