--- a/src/main/java/loomreel/net/Server.java
+++ b/src/main/java/loomreel/net/Server.java
@@ -113,11 +113,11 @@
         listener = config.inherited() ? inherited() : bound(config);
         listener.configureBlocking(false);
         // Before anything is accepted: the first call-back may be meant for the other process.
-        sibling = config.inherited() && config.directory() != null ? new Sibling(loop, file("sock"), this) : null;
+        sibling = config.inherited() && config.directory() != null ? tie() : null;
         dispatcher.tie(sibling);
         // After the tie is up, so that what operators say from now on comes that way.
         stateFile = config.directory() == null ? null : file("state");
-        state = OperatorState.read(stateFile);
+        state = readState();
         clientsGone = state.drained();
         share();
         key = listener.register(loop.selector, SelectionKey.OP_ACCEPT, this);
@@ -130,6 +130,25 @@
         return config.directory().resolve(config.name().replaceAll("[^A-Za-z0-9_-]", "_") + "." + kind);
     }
 
+    /** Without a tie, as where the path is too long for a socket, it serves all the same, and a successor is no help. */
+    private Sibling tie() {
+        try {
+            return new Sibling(loop, file("sock"), this);
+        } catch (IOException e) {
+            log.warn("no tie to another process, an upgrade will lose call-backs: " + e.getMessage());
+            return null;
+        }
+    }
+
+    private OperatorState readState() {
+        try {
+            return OperatorState.read(stateFile);
+        } catch (IOException e) {
+            log.warn("what operators said to an earlier process cannot be read: " + e.getMessage());
+            return OperatorState.of("");
+        }
+    }
+
     private static ServerSocketChannel bound(ServeConfig config) throws IOException {
         ServerSocketChannel listener = ServerSocketChannel.open();
         listener.setOption(StandardSocketOptions.SO_REUSEADDR, true);
--- a/src/test/java/loomreel/decision/RulesTest.java
+++ b/src/test/java/loomreel/decision/RulesTest.java
@@ -8,6 +8,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import loomreel.decision.Model.*;
+import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -218,4 +219,36 @@
         assertTrue(work > capacity, "sent " + work + " of " + capacity);
         assertTrue(work < Fixture.RULES.tipMultiple() * capacity, "sent " + work + " of " + capacity);
     }
+
+    /** What operators take out gets no first try, no retry and no probe, however often the list says that it is ready. */
+    @Test
+    void aWorkerThatIsDownGetsNothingUntilItIsUpAndThenIsCold() {
+        Fixture f = new Fixture(Fixture.settings(1, true, true, Reporting.WITH_PROBES, false), 7);
+        f.on(new WholeList(Fixture.workers(2)));
+        f.on(new Down("w00"));
+        assertEquals(1, f.brain.avoided(f.now));
+        int elsewhere = 0;
+        for (int i = 0; i < 50; i++) {
+            f.now += SECOND / 10;
+            f.on(new ListChanges(List.of(Fixture.worker(0, State.READY, 0))));
+            f.on(new Probed("w01", Outcome.OK, 1000, Fixture.report(0, 0, 4)));
+            List<Action> then = new ArrayList<>(f.arrive("r" + i, null, Fixture.READ));
+            elsewhere += sends(then).size();
+            then.addAll(f.ended("r" + i, 0, "w01", Outcome.FULL));
+            assertTrue(sends(then).stream().noneMatch(s -> s.worker().equals("w00")));
+            assertTrue(of(Probe.class, then).stream().noneMatch(p -> p.worker().equals("w00")));
+            f.now += SECOND;
+            f.on(new Withdrawn("r" + i));
+        }
+        assertTrue(elsewhere > 0, "the other one serves");
+        f.on(new Up("w00"));
+        f.on(new Down("w01"));
+        assertEquals(1, f.brain.avoided(f.now));
+        int sent = 0;
+        for (int i = 0; i < 20; i++) {
+            f.on(new Probed("w00", Outcome.OK, 1000, Fixture.report(0, 0, 4)));
+            sent += sends(f.arrive("s" + i, null, Fixture.READ)).size();
+        }
+        assertTrue(sent >= 1 && sent < 20, sent + " at once to a worker that may have restarted");
+    }
 }
