--- a/src/main/java/loomreel/cli/Serve.java
+++ b/src/main/java/loomreel/cli/Serve.java
@@ -5,7 +5,7 @@
 import java.util.concurrent.CountDownLatch;
 import loomreel.config.ConfigException;
 import loomreel.config.ServeConfig;
-import loomreel.net.Server;
+import loomreel.server.Server;
 import loomreel.ops.OpsServer;
 import picocli.CommandLine.Command;
 import sun.misc.Signal;
--- a/src/main/java/loomreel/net/Dispatcher.java
+++ b/src/main/java/loomreel/core/Dispatcher.java
@@ -1,45 +1,50 @@
-package loomreel.net;
+package loomreel.core;
 
-import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import loomreel.config.ResolverResult;
-import loomreel.config.ServeConfig;
 import loomreel.decision.Brain;
 import loomreel.decision.Model;
 import loomreel.decision.Model.Event;
 import loomreel.decision.Model.Outcome;
+import loomreel.io.BoundedLog;
+import loomreel.io.EventLoop;
 
-/** Tells the module what the sockets see and does on the sockets what it says. It decides nothing. */
-final class Dispatcher implements Resolver.Listener {
+/** Tells the module what the protocols see and has them do what it says. It decides nothing. */
+public final class Dispatcher {
     private static final long SECOND = 1_000_000;
-    static final long FIGURES_EVERY = 10 * SECOND;
-    /** Our side of an idle connection ends at this share of the time after which the copy worker ends it. */
-    private static final double IDLE_SHARE = 0.7;
+    /** How often figures are logged, in microseconds. */
+    public static final long FIGURES_EVERY = 10 * SECOND;
 
-    final EventLoop loop;
-    final BoundedLog log = new BoundedLog("loomreel.net.dispatcher");
+    /** Who hears which ids are in use here. */
+    public interface Holder {
+        /** An id is in use from here on. */
+        void holds(String id);
+
+        /** An id is free again. */
+        void frees(String id);
+
+        /** Whether an id is in use elsewhere, where that would be one dispatcher with this. */
+        boolean holdsElsewhere(String id);
+    }
+
+    public final EventLoop loop;
+    public final Figures figures;
+    private final BoundedLog log = new BoundedLog("loomreel.core.dispatcher");
     private final BoundedLog moduleLog = new BoundedLog("loomreel.decision");
-    private final BoundedLog peerLog = new BoundedLog("loomreel.net.peer");
-    private final ServeConfig config;
+    private final Model.Settings settings;
+    private final long seed;
+    private final long answerSlack;
     private final Brain brain = new Brain();
-    private final Resolver resolver;
-    private final Peer.Descriptors descriptors;
-    private final KeepAlive keepAlive;
     private final Map<String, Rpc> rpcs = new HashMap<>();
-    /** The ids that the other process of this dispatcher holds: an id is in use once, wherever that is. */
-    private final Set<String> heldBeside = new HashSet<>();
-    private Sibling sibling;
-    private final Map<String, Subchannel> subchannels = new HashMap<>();
+    private final List<WorkerSource> sources = new ArrayList<>(2);
+    private Holder holder;
     /** The module answers one event before it hears the next, also of what its own answer caused. */
     private final ArrayDeque<Event> events = new ArrayDeque<>();
     private final List<Model.Action> actions = new ArrayList<>();
-    final Figures figures;
     private int most;
     /** When what is taken from now on has its answer at the latest. */
     private long leaveBy = Long.MAX_VALUE;
@@ -49,133 +54,142 @@
     private int probes;
     private int probesLost;
 
-    /** A dispatcher that has not started, and has no room before it is told how much. */
-    Dispatcher(EventLoop loop, ServeConfig config) {
+    /**
+     * A dispatcher that has not started, and has no room before it is told how much.
+     *
+     * @param answerSlack how long after a client's deadline an answer still counts, in microseconds
+     */
+    public Dispatcher(EventLoop loop, Model.Settings settings, long seed, long answerSlack) {
         this.loop = loop;
-        this.config = config;
-        figures = new Figures(config.settings().classes());
-        descriptors = new Peer.Descriptors(0);
-        keepAlive = new KeepAlive((long) (config.idleFor() * IDLE_SHARE));
-        resolver = new Resolver(loop, new Peer(loop, "discovery", config.discovery(), new Peer.Descriptors(1),
-                config.connectWithin(), new KeepAlive(SECOND), peerLog), config.known().seq(), this);
+        this.settings = settings;
+        this.seed = seed;
+        this.answerSlack = answerSlack;
+        figures = new Figures(settings.classes());
+    }
+
+    /** Copy workers come from there too. */
+    public void add(WorkerSource source) {
+        sources.add(source);
     }
 
-    /** From now on {@code sockets} are for calls that it makes, and {@code jobs} RPCs may be open. */
-    void room(int sockets, int jobs) {
-        descriptors.most(sockets);
+    /** From now on so many RPCs may be open. */
+    public void room(int jobs) {
         most = jobs;
     }
 
     /** Starts; {@code down} are the copy workers that operators have taken out of use. */
-    void start(Set<String> down) {
-        tell(new Model.Start(config.seed(), config.settings()));
+    public void start(Set<String> down) {
+        tell(new Model.Start(seed, settings));
         down.forEach(this::down);
-        resolved(config.known());
+    }
+
+    /** Has the sources do what is due every second, and logs figures: to be called once after the first list. */
+    public void keep() {
         everySecond();
         logFigures();
     }
 
     private void everySecond() {
-        subchannels.values().forEach(Subchannel::closeStale);
+        sources.forEach(WorkerSource::everySecond);
         loop.at(loop.now() + SECOND, this::everySecond);
     }
 
+    private int workers() {
+        return sources.stream().mapToInt(WorkerSource::size).sum();
+    }
+
+    private Subchannel find(String worker) {
+        for (WorkerSource source : sources) {
+            Subchannel found = source.find(worker);
+            if (found != null) {
+                return found;
+            }
+        }
+        return null;
+    }
+
     private void logFigures() {
         log.info(summary() + "; longest turn " + loop.takeLongestTurn() / 1000 + " ms");
         loop.at(loop.now() + FIGURES_EVERY, this::logFigures);
     }
 
     /** What has come of everything so far. */
-    String summary() {
+    public String summary() {
         return "open " + rpcs.size() + ", in all: taken " + taken + ", served "
                 + figures.count(Figures.Settled.SUCCESS) + ", refused " + figures.count(Figures.Settled.BUSY)
-                + ", failed " + figures.count(Figures.Settled.FAILURE) + ", withdrawn " + withdrawn + "; copy workers " + subchannels.size()
+                + ", failed " + figures.count(Figures.Settled.FAILURE) + ", withdrawn " + withdrawn + "; copy workers " + workers()
                 + ", probes " + probes + ", of them lost " + probesLost;
     }
 
-    /** Whether the list names a copy worker. */
-    boolean lists(String worker) {
-        return subchannels.containsKey(worker);
-    }
-
-    /** Whether another process of this dispatcher serves beside this one. */
-    void beside(boolean other) {
-        if (other) {
-            rpcs.keySet().forEach(id -> sibling.tell("holds", id));
-        } else {
-            heldBeside.clear();
-        }
-        part(other ? 0.5 : 1);
+    /** Whether a list names a copy worker. */
+    public boolean lists(String worker) {
+        return find(worker) != null;
     }
 
     /** The part of this dispatcher's leave for cold copy workers that this process may use. */
-    void part(double part) {
+    public void part(double part) {
         tell(new Model.Part(part));
     }
 
     /** Nothing more goes to a copy worker. */
-    void down(String worker) {
+    public void down(String worker) {
         tell(new Model.Down(worker));
     }
 
     /** A copy worker may serve again. */
-    void up(String worker) {
+    public void up(String worker) {
         tell(new Model.Up(worker));
     }
 
     /** Whether nothing that was taken is still open. */
-    boolean isEmpty() {
+    public boolean isEmpty() {
         return rpcs.values().stream().allMatch(Rpc::isOver);
     }
 
     /** What is reported of it all. */
-    Map<String, Object> report() {
+    public Map<String, Object> report() {
         int open = (int) rpcs.values().stream().filter(r -> !r.isOver()).count();
-        return figures.report(open, subchannels.size(), brain.avoided(loop.now()));
+        return figures.report(open, workers(), brain.avoided(loop.now()));
     }
 
     /** Whether another RPC may be taken. */
-    boolean hasRoom() {
+    public boolean hasRoom() {
         return rpcs.size() < most;
     }
 
     /** Whether an RPC of that id is on its way here. */
-    boolean holds(String id) {
+    public boolean holds(String id) {
         return rpcs.containsKey(id);
     }
 
-    /** Whether an RPC of that id is on its way here or in the other process. */
-    boolean inUse(String id) {
-        return holds(id) || heldBeside.contains(id);
+    /** Whether an RPC of that id is on its way here or elsewhere. */
+    public boolean inUse(String id) {
+        return holds(id) || holder != null && holder.holdsElsewhere(id);
     }
 
-    /** Says to the other process from now on which ids are in use here. */
-    void tie(Sibling to) {
-        sibling = to;
+    /** Tells somebody from now on which ids are in use here; null for nobody. */
+    public void heldFor(Holder to) {
+        holder = to;
     }
 
-    /** The other process holds an id, or no longer. */
-    void heldBeside(String id, boolean held) {
-        if (held) {
-            heldBeside.add(id);
-        } else {
-            heldBeside.remove(id);
-        }
+    /** The ids that are in use here. */
+    public Set<String> held() {
+        return Set.copyOf(rpcs.keySet());
     }
 
     /** Takes an RPC; from here on it gets one answer. */
-    void take(Rpc rpc, Model.Arrival arrival) {
+    public void take(Rpc rpc, Model.Arrival arrival) {
         taken++;
         rpcs.put(rpc.id, rpc);
-        if (sibling != null) {
-            sibling.tell("holds", rpc.id);
+        if (holder != null) {
+            holder.holds(rpc.id);
         }
-        loop.at(Math.min(leaveBy, rpc.deadline + config.answerSlack()), () -> overdue(rpc));
+        loop.at(Math.min(leaveBy, rpc.deadline + answerSlack), () -> overdue(rpc));
         tell(arrival);
     }
 
     /** What is taken from here on is answered by this time, done or not: the process will not live much longer. */
-    void leaveBy(long time) {
+    public void leaveBy(long time) {
         leaveBy = time;
     }
 
@@ -195,7 +209,7 @@
     }
 
     /** The caller has gone. */
-    void withdraw(Rpc rpc) {
+    public void withdraw(Rpc rpc) {
         if (rpc.end()) {
             withdrawn++;
             tell(new Model.Withdrawn(rpc.id));
@@ -203,13 +217,10 @@
         }
     }
 
-    /** What a copy worker says of a job; of one that is not known any more there is nothing to be done. */
-    void news(JobNews news) {
-        Rpc rpc = rpcs.get(news.id());
-        CallAttempt attempt = rpc == null ? null : rpc.openAt(news.from());
-        if (attempt != null) {
-            attempt.news(news.state(), news.result(), news.load());
-        }
+    /** The attempt that a copy worker may speak of, or null where none is out at it any more. */
+    public CallAttempt openAt(String id, String worker) {
+        Rpc rpc = rpcs.get(id);
+        return rpc == null ? null : rpc.openAt(worker);
     }
 
     void running(CallAttempt attempt) {
@@ -223,50 +234,32 @@
         forget(rpc);
     }
 
-    void probed(String worker, Outcome outcome, long sentAt, Model.Report report) {
+    /** A probe has come back, or will not. */
+    public void probed(String worker, Outcome outcome, long sentAt, Model.Report report) {
         probes++;
         probesLost += outcome == Outcome.OK ? 0 : 1;
         tell(new Model.Probed(worker, outcome, loop.now() - sentAt, report));
     }
 
-    /** Discovery is at another address from now on. */
-    void moveDiscovery(InetSocketAddress address) {
-        resolver.moveTo(address);
-    }
-
-    @Override
-    public void lost() {
+    /** A source has lost touch with where its list comes from; the list held so far stays valid. */
+    public void listLost() {
         tell(new Model.ListLost());
     }
 
-    @Override
-    public void resolved(ResolverResult result) {
-        Map<String, Subchannel> before = new HashMap<>(subchannels);
-        for (Model.Entry entry : result.entries()) {
-            before.remove(entry.id());
-            if (entry.state() == Model.State.GONE) {
-                retire(entry.id());
-            } else {
-                subchannels.computeIfAbsent(entry.id(), id -> subchannel(entry, result))
-                        .update(result.addresses().get(entry.id()), entry.startedAt());
-            }
-        }
-        if (result.whole()) {
-            before.keySet().forEach(this::retire);
-        }
-        tell(result.whole() ? new Model.WholeList(result.entries()) : new Model.ListChanges(result.entries()));
-    }
-
-    private Subchannel subchannel(Model.Entry entry, ResolverResult result) {
-        Peer peer = new Peer(loop, entry.id(), result.addresses().get(entry.id()), descriptors,
-                config.connectWithin(), keepAlive, peerLog);
-        return new Subchannel(this, entry.id(), peer, entry.startedAt(), config.connectWithin());
-    }
-
-    private void retire(String id) {
-        Subchannel gone = subchannels.remove(id);
-        if (gone != null) {
-            gone.retire();
+    /**
+     * A source has a list, or changes to it; {@link WorkerSource#find} knows of them already.
+     *
+     * @param whole whether what it does not name any more is gone
+     */
+    public void listed(WorkerSource source, boolean whole, List<Model.Entry> entries) {
+        if (!whole) {
+            tell(new Model.ListChanges(entries));
+        } else if (sources.size() == 1) {
+            tell(new Model.WholeList(entries));
+        } else {
+            List<Model.Entry> all = new ArrayList<>(entries);
+            sources.stream().filter(s -> s != source).forEach(s -> all.addAll(s.entries()));
+            tell(new Model.WholeList(all));
         }
     }
 
@@ -309,7 +302,7 @@
                 forget(rpc);
             }
         } else if (action instanceof Model.Probe probe) {
-            Subchannel subchannel = subchannels.get(probe.worker());
+            Subchannel subchannel = find(probe.worker());
             if (subchannel == null) {
                 probed(probe.worker(), Outcome.CONNECT_FAILED, loop.now(), null);
             } else {
@@ -318,7 +311,7 @@
         } else if (action instanceof Model.Timer timer) {
             loop.at(timer.at(), () -> tell(new Model.TimerDue(timer.token())));
         } else if (action instanceof Model.Subscribe) {
-            resolver.watch();
+            sources.forEach(WorkerSource::watch);
         } else if (action instanceof Model.Log line) {
             moduleLog.info(line.text());
         } else {
@@ -333,23 +326,23 @@
             return;
         }
         long until = send.timeout() > 0 ? Math.min(rpc.deadline, loop.now() + send.timeout()) : rpc.deadline;
-        Subchannel subchannel = subchannels.get(send.worker());
-        boolean moot = rpc.isOver() || rpc.attempts.size() >= config.settings().limits().maxAttempts()
+        Subchannel subchannel = find(send.worker());
+        boolean moot = rpc.isOver() || rpc.attempts.size() >= settings.limits().maxAttempts()
                 || loop.now() >= until || rpc.openAt(send.worker()) != null;
         CallAttempt attempt = new CallAttempt(this, rpc, send.worker(), subchannel, loop.now(), until);
         rpc.attempts.add(attempt);
         if (moot) {
-            attempt.skip(Outcome.MOOT);
+            attempt.end(Outcome.MOOT, null);
         } else if (subchannel == null) {
-            attempt.skip(Outcome.CONNECT_FAILED);
+            attempt.end(Outcome.CONNECT_FAILED, null);
         } else {
             attempt.start();
         }
     }
 
     private void forget(Rpc rpc) {
-        if (rpc.isDone() && rpcs.remove(rpc.id, rpc) && sibling != null) {
-            sibling.tell("frees", rpc.id);
+        if (rpc.isDone() && rpcs.remove(rpc.id, rpc) && holder != null) {
+            holder.frees(rpc.id);
         }
     }
 }
--- a/src/main/java/loomreel/net/Figures.java
+++ b/src/main/java/loomreel/core/Figures.java
@@ -1,4 +1,4 @@
-package loomreel.net;
+package loomreel.core;
 
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -6,9 +6,9 @@
 import loomreel.decision.Model;
 
 /** What has come of everything since the start. Each answer to a job is counted once, where it is settled. */
-final class Figures {
+public final class Figures {
     /** The ways in which a job may end, by the names under which they are reported. */
-    enum Settled {
+    public enum Settled {
         SUCCESS, BUSY, FAILURE;
 
         final String reported = name().toLowerCase(java.util.Locale.ROOT);
@@ -20,27 +20,30 @@
     private int reconfigured;
     private int notReconfigured;
 
-    Figures(List<Model.RequestClass> classes) {
+    /** Nothing has come of anything so far. */
+    public Figures(List<Model.RequestClass> classes) {
         this.classes = classes;
         settled = new int[Settled.values().length][classes.size()];
     }
 
-    void settled(int requestClass, Settled how) {
+    /** A job has its answer. */
+    public void settled(int requestClass, Settled how) {
         settled[how.ordinal()][requestClass]++;
     }
 
     /** An attempt's last byte has been written. */
-    void called() {
+    public void called() {
         calls++;
     }
 
     /** The configuration has been read again. */
-    void reconfigured(boolean well) {
+    public void reconfigured(boolean well) {
         reconfigured += well ? 1 : 0;
         notReconfigured += well ? 0 : 1;
     }
 
-    int count(Settled how) {
+    /** How many jobs ended so, of every class. */
+    public int count(Settled how) {
         int all = 0;
         for (int one : settled[how.ordinal()]) {
             all += one;
@@ -49,7 +52,7 @@
     }
 
     /** Every figure by its name; each class is there, also where nothing has come of it. */
-    Map<String, Object> report(int inflight, int listed, int down) {
+    public Map<String, Object> report(int inflight, int listed, int down) {
         Map<String, Object> report = new LinkedHashMap<>();
         for (Settled how : Settled.values()) {
             Map<String, Integer> of = new LinkedHashMap<>();
--- a/src/main/java/loomreel/net/Rpc.java
+++ b/src/main/java/loomreel/core/Rpc.java
@@ -1,44 +1,56 @@
-package loomreel.net;
+package loomreel.core;
 
 import java.util.ArrayList;
 import java.util.List;
-import loomreel.http.Bytes;
+import loomreel.decision.Model.Outcome;
+import loomreel.io.Bytes;
 
 /** A request that a client has handed in, until it has its answer and its attempts have ended. */
-final class Rpc {
+public final class Rpc {
     /** Whoever handed it in; one of these is called, once, unless it was withdrawn before. */
-    interface Caller {
+    public interface Caller {
+        /** A copy worker made this. */
         void served(byte[] result);
 
+        /** Not served, and trying again does no harm. */
         void refused(UnavailableStatus status);
 
+        /** Not served; whether anything ran is what {@link Rpc#mayHaveRun()} says. */
         void failed();
     }
 
-    final String id;
+    /** The id under which copy workers know it; new for each try of a client's. */
+    public final String id;
     /** Its position in the settings. */
-    final int requestClass;
+    public final int requestClass;
     /** Path and query, passed on unchanged. */
-    final String target;
-    final Bytes body;
-    /** When the caller stops waiting. */
-    final long deadline;
+    public final String target;
+    /** What the body is, where the front knows; else null. */
+    public final String contentType;
+    /** Owned by this RPC, and released with its answer. */
+    public final Bytes body;
+    /** When the caller stops waiting, in microseconds of the loop's clock. */
+    public final long deadline;
     final List<CallAttempt> attempts = new ArrayList<>(2);
     private final Caller caller;
     private final Figures figures;
     private boolean over;
 
-    Rpc(String id, int requestClass, String target, Bytes body, long deadline, Caller caller, Figures figures) {
+    /** One that is not taken yet. */
+    public Rpc(String id, int requestClass, String target, String contentType, Bytes body, long deadline,
+            Caller caller, Figures figures) {
         this.id = id;
         this.requestClass = requestClass;
         this.figures = figures;
         this.target = target;
+        this.contentType = contentType;
         this.body = body;
         this.deadline = deadline;
         this.caller = caller;
     }
 
-    boolean isOver() {
+    /** Whether it has its answer, or nobody wants one any more. */
+    public boolean isOver() {
         return over;
     }
 
@@ -47,6 +59,14 @@
         return over && attempts.stream().allMatch(CallAttempt::hasEnded);
     }
 
+    /** Whether an attempt may have run, or may yet: true unless each has ended with proof that it did not. */
+    public boolean mayHaveRun() {
+        return attempts.stream().anyMatch(a -> {
+            Outcome outcome = a.outcome();
+            return outcome == null || !outcome.neverRan;
+        });
+    }
+
     /** The attempt that this copy worker may speak of, or null. */
     CallAttempt openAt(String worker) {
         for (CallAttempt a : attempts) {
--- /dev/null
+++ b/src/main/java/loomreel/core/Subchannel.java
@@ -0,0 +1,20 @@
+package loomreel.core;
+
+/** A copy worker that a list has named, in the words of whatever protocol it speaks. */
+public interface Subchannel {
+    /** What carries an attempt until that ends. */
+    interface Carrier {
+        /** Stops waiting: what has not gone out does not, and what has is asked to end. */
+        void cancel();
+    }
+
+    /**
+     * Hands in the job of an attempt. From here on the subchannel ends it, with "never ran" only where that is proven.
+     *
+     * @return what carries it, or null where there is no such thing any more
+     */
+    Carrier post(CallAttempt attempt);
+
+    /** Asks for the load; {@link Dispatcher#probed} has the answer, at once or later. */
+    void probe();
+}
--- a/src/main/java/loomreel/net/UnavailableStatus.java
+++ b/src/main/java/loomreel/core/UnavailableStatus.java
@@ -1,8 +1,8 @@
-package loomreel.net;
+package loomreel.core;
 
 /**
  * A refusal: nothing has run, and trying again does no harm.
  *
  * @param retryAfter how many microseconds the client should stay away; 0 where there is no advice
  */
-record UnavailableStatus(long retryAfter) { }
+public record UnavailableStatus(long retryAfter) { }
--- a/src/main/java/loomreel/net/Exchange.java
+++ b/src/main/java/loomreel/http/Exchange.java
@@ -1,10 +1,9 @@
-package loomreel.net;
+package loomreel.http;
 
 import loomreel.decision.Model.Outcome;
-import loomreel.http.Message;
 
 /** A request that this dispatcher makes: it ends in one of two ways, once. */
-interface Exchange {
+public interface Exchange {
     /** When it stops waiting. */
     long deadline();
 
--- /dev/null
+++ b/src/main/java/loomreel/http/HttpConnection.java
@@ -0,0 +1,65 @@
+package loomreel.http;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
+import loomreel.io.ByteConnection;
+import loomreel.io.EventLoop;
+
+/** One connection that carries HTTP messages both ways. */
+public abstract class HttpConnection extends ByteConnection {
+    protected final MessageParser parser;
+
+    /**
+     * Takes over a channel.
+     *
+     * @param up whether it is connected; else it is on its way
+     * @param requests whether requests come in here; else responses
+     */
+    protected HttpConnection(EventLoop loop, SocketChannel channel, boolean up, boolean requests) throws IOException {
+        super(loop, channel, up);
+        parser = new MessageParser(loop.pool, requests);
+    }
+
+    /** A whole message has come. */
+    protected abstract void received(Message message);
+
+    /** The bytes that come are no message. */
+    protected abstract void malformed(BadMessageException why);
+
+    /** Whether another message may be read now. */
+    protected boolean takesMore() {
+        return true;
+    }
+
+    @Override
+    protected void take(ByteBuffer in) {
+        try {
+            while (!isClosed() && takesMore() && in.hasRemaining()) {
+                Message message = parser.feed(in);
+                if (message != null) {
+                    received(message);
+                }
+            }
+        } catch (BadMessageException e) {
+            malformed(e);
+        }
+    }
+
+    /** A body without a length ends with its connection. */
+    @Override
+    protected void ended() {
+        Message last = parser.end();
+        if (last != null) {
+            received(last);
+        }
+    }
+
+    @Override
+    public void close() {
+        if (!isClosed()) {
+            parser.release();
+            super.close();
+        }
+    }
+}
--- a/src/main/java/loomreel/net/KeepAlive.java
+++ b/src/main/java/loomreel/http/KeepAlive.java
@@ -1,11 +1,11 @@
-package loomreel.net;
+package loomreel.http;
 
 /**
  * How long a connection may lie idle and still be used. The settings name the longest time; what lies between may
  * forget a connection sooner and say nothing, and then resets the next request, which must not be sent again if it
  * may have run. So the time is learned from such resets, and found out anew after some time without one.
  */
-final class KeepAlive {
+public final class KeepAlive {
     /** What was in use a moment ago broke for another reason. */
     private static final long AT_LEAST = 50_000;
     private static final double MARGIN = 0.75;
@@ -20,7 +20,8 @@
     private long learned;
     private long learnedAt;
 
-    KeepAlive(long most) {
+    /** At first as long as may be. */
+    public KeepAlive(long most) {
         this.most = most;
         learned = most;
     }
--- a/src/main/java/loomreel/http/Message.java
+++ b/src/main/java/loomreel/http/Message.java
@@ -1,6 +1,7 @@
 package loomreel.http;
 
 import java.util.List;
+import loomreel.io.Bytes;
 
 /**
  * A whole request or response.
--- a/src/main/java/loomreel/http/MessageParser.java
+++ b/src/main/java/loomreel/http/MessageParser.java
@@ -5,6 +5,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import loomreel.io.BufferPool;
+import loomreel.io.Bytes;
 
 /** Reads requests or responses from bytes as they come, split anywhere. */
 public final class MessageParser {
--- a/src/main/java/loomreel/net/Peer.java
+++ b/src/main/java/loomreel/http/Peer.java
@@ -1,27 +1,30 @@
-package loomreel.net;
+package loomreel.http;
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import loomreel.decision.Model.Outcome;
-import loomreel.http.Bytes;
+import loomreel.io.BoundedLog;
+import loomreel.io.Bytes;
+import loomreel.io.EventLoop;
 
 /** A place that this dispatcher calls, with its connections; the one used last is used again first. */
-final class Peer {
+public final class Peer {
     /** Bounds the descriptors of all peers together. */
-    static final class Descriptors {
+    public static final class Descriptors {
         private int most;
         private int open;
         /** Every idle connection of every peer, the longest idle first. */
         private final ArrayDeque<PeerConnection> idle = new ArrayDeque<>();
 
-        Descriptors(int most) {
+        /** So many at the most. */
+        public Descriptors(int most) {
             this.most = most;
         }
 
         /** Changes the bound; what is open beyond it goes as it falls idle. */
-        void most(int number) {
+        public void most(int number) {
             most = number;
             while (open > most && !idle.isEmpty()) {
                 idle.peekFirst().close();
@@ -53,7 +56,7 @@
      * @param connectWithin how long a connection may take to come up
      * @param keepAlive how long one may lie idle
      */
-    Peer(EventLoop loop, String name, InetSocketAddress address, Descriptors descriptors, long connectWithin,
+    public Peer(EventLoop loop, String name, InetSocketAddress address, Descriptors descriptors, long connectWithin,
             KeepAlive keepAlive, BoundedLog log) {
         this.loop = loop;
         this.name = name;
@@ -64,12 +67,13 @@
         this.log = log;
     }
 
-    InetSocketAddress address() {
+    /** Where it is called. */
+    public InetSocketAddress address() {
         return address;
     }
 
     /** From here on only connections opened anew to this address are used: it moved, restarted or left. */
-    void renew(InetSocketAddress to) {
+    public void renew(InetSocketAddress to) {
         address = to;
         generation++;
         closeIdle();
@@ -80,7 +84,7 @@
      *
      * @return the connection that carries it, or null if there is none and the exchange has ended
      */
-    PeerConnection call(Bytes request, Exchange exchange) {
+    public PeerConnection call(Bytes request, Exchange exchange) {
         closeStale();
         PeerConnection connection = idle.pollLast();
         if (connection == null) {
@@ -123,7 +127,7 @@
     }
 
     /** The other side closes idle connections in its own time, and a request that crosses that is lost: be first. */
-    void closeStale() {
+    public void closeStale() {
         long limit = keepAlive.limit(loop.now());
         while (!idle.isEmpty() && loop.now() - idle.peekFirst().idleSince >= limit) {
             idle.peekFirst().close();
@@ -135,7 +139,8 @@
         keepAlive.usedAgain(idle, reset, loop.now());
     }
 
-    long connectWithin() {
+    /** How long a connection may take to come up, in microseconds. */
+    public long connectWithin() {
         return connectWithin;
     }
 
--- a/src/main/java/loomreel/net/PeerConnection.java
+++ b/src/main/java/loomreel/http/PeerConnection.java
@@ -1,15 +1,14 @@
-package loomreel.net;
+package loomreel.http;
 
 import java.io.IOException;
 import java.net.StandardSocketOptions;
 import java.nio.channels.SocketChannel;
 import loomreel.decision.Model.Outcome;
-import loomreel.http.BadMessageException;
-import loomreel.http.Bytes;
-import loomreel.http.Message;
+import loomreel.io.Bytes;
+import loomreel.io.EventLoop;
 
 /** A connection that this dispatcher has opened; it carries one exchange at a time. */
-final class PeerConnection extends Connection {
+public final class PeerConnection extends HttpConnection {
     /** Counts the restarts and moves of the peer: what was opened before one is not used after it. */
     final int generation;
     long idleSince;
@@ -74,7 +73,7 @@
     }
 
     /** Gives the exchange up; the other side sees the connection close. */
-    void abandon() {
+    public void abandon() {
         exchange = null;
         close();
     }
--- a/src/main/java/loomreel/http/package-info.java
+++ b/src/main/java/loomreel/http/package-info.java
@@ -1,2 +1,2 @@
-/** HTTP/1.1 on pooled buffers: parsing and writing, with no decisions and no sockets. */
+/** HTTP/1.1 on pooled buffers: parsing, writing, connections and the calls that are made over them. */
 package loomreel.http;
--- a/src/main/java/loomreel/net/BoundedLog.java
+++ b/src/main/java/loomreel/io/BoundedLog.java
@@ -1,4 +1,4 @@
-package loomreel.net;
+package loomreel.io;
 
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
--- a/src/main/java/loomreel/http/BufferPool.java
+++ b/src/main/java/loomreel/io/BufferPool.java
@@ -1,4 +1,4 @@
-package loomreel.http;
+package loomreel.io;
 
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
--- a/src/main/java/loomreel/net/Connection.java
+++ b/src/main/java/loomreel/io/ByteConnection.java
@@ -1,19 +1,14 @@
-package loomreel.net;
+package loomreel.io;
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
-import loomreel.http.BadMessageException;
-import loomreel.http.Bytes;
-import loomreel.http.Message;
-import loomreel.http.MessageParser;
 
-/** One TCP connection that carries HTTP messages both ways. */
-public abstract class Connection implements EventLoop.Handler {
+/** One TCP connection, whatever is spoken on it: bytes in as they come, bytes out as the channel takes them. */
+public abstract class ByteConnection implements EventLoop.Handler {
     protected final EventLoop loop;
     protected final SocketChannel channel;
-    protected final MessageParser parser;
     /** What is still to be written. */
     protected final Bytes out;
     private final SelectionKey key;
@@ -25,22 +20,20 @@
      * Takes over a channel.
      *
      * @param up whether it is connected; else it is on its way
-     * @param requests whether requests come in here; else responses
      */
-    protected Connection(EventLoop loop, SocketChannel channel, boolean up, boolean requests) throws IOException {
+    protected ByteConnection(EventLoop loop, SocketChannel channel, boolean up) throws IOException {
         this.loop = loop;
         this.channel = channel;
         this.up = up;
-        parser = new MessageParser(loop.pool, requests);
         out = new Bytes(loop.pool);
         key = channel.register(loop.selector, up ? SelectionKey.OP_READ : SelectionKey.OP_CONNECT, this);
     }
 
-    /** A whole message has come. */
-    protected abstract void received(Message message);
+    /** Takes bytes in as they are read; what it leaves is lost. */
+    protected abstract void take(ByteBuffer in);
 
-    /** The bytes that come are no message. */
-    protected abstract void malformed(BadMessageException why);
+    /** The other side sends no more; {@link #broken()} follows. */
+    protected void ended() { }
 
     /** The other side has closed or broken the connection; it is closed here after this. */
     protected abstract void broken();
@@ -52,7 +45,7 @@
         return up;
     }
 
-    protected final boolean isClosed() {
+    public final boolean isClosed() {
         return closed;
     }
 
@@ -81,32 +74,10 @@
             take(in);
             return;
         }
-        Message last = parser.end();
-        if (last != null) {
-            received(last);
-        }
+        ended();
         fail();
     }
 
-    /** Whether another message may be read now. */
-    protected boolean takesMore() {
-        return true;
-    }
-
-    /** Takes bytes in as they are read. */
-    protected void take(ByteBuffer in) {
-        try {
-            while (!closed && takesMore() && in.hasRemaining()) {
-                Message message = parser.feed(in);
-                if (message != null) {
-                    received(message);
-                }
-            }
-        } catch (BadMessageException e) {
-            malformed(e);
-        }
-    }
-
     /** Writes as much as goes; the rest follows when the channel takes it. */
     protected final void flush() {
         if (!up || closed) {
@@ -163,7 +134,6 @@
     public void close() {
         if (!closed) {
             closed = true;
-            parser.release();
             out.release();
             key.cancel();
             try {
--- a/src/main/java/loomreel/http/Bytes.java
+++ b/src/main/java/loomreel/io/Bytes.java
@@ -1,4 +1,4 @@
-package loomreel.http;
+package loomreel.io;
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
--- a/src/main/java/loomreel/net/EventLoop.java
+++ b/src/main/java/loomreel/io/EventLoop.java
@@ -1,4 +1,4 @@
-package loomreel.net;
+package loomreel.io;
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -7,7 +7,6 @@
 import java.util.PriorityQueue;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
-import loomreel.http.BufferPool;
 
 /** One thread, one selector, one clock. Everything that a dispatcher holds belongs to this thread. */
 public final class EventLoop {
@@ -42,17 +41,18 @@
     public final Selector selector;
     public final BufferPool pool;
     /** Where reads land; empty again at the end of each. */
-    final ByteBuffer scratch = ByteBuffer.allocateDirect(BufferPool.SIZE);
+    public final ByteBuffer scratch = ByteBuffer.allocateDirect(BufferPool.SIZE);
     private final PriorityQueue<Timer> timers = new PriorityQueue<>();
     private final Queue<Runnable> posted = new ConcurrentLinkedQueue<>();
-    private final BoundedLog log = new BoundedLog("loomreel.net.loop");
+    private final BoundedLog log = new BoundedLog("loomreel.io.loop");
     private final long anchor = System.currentTimeMillis() * 1000 - System.nanoTime() / 1000;
     private long now = clock();
     private long order;
     private boolean stopped;
     private long longest;
 
-    EventLoop(BufferPool pool) throws IOException {
+    /** A loop that does not run yet. */
+    public EventLoop(BufferPool pool) throws IOException {
         this.pool = pool;
         selector = Selector.open();
     }
@@ -77,16 +77,22 @@
     }
 
     /** Has the loop's thread do something soon. Any thread may call this. */
-    void post(Runnable task) {
+    public void post(Runnable task) {
         posted.add(task);
         selector.wakeup();
     }
 
-    void stop() {
+    /** Has {@link #run()} return after this turn. */
+    public void stop() {
         stopped = true;
     }
 
-    void run() throws IOException {
+    /**
+     * Runs until it is stopped.
+     *
+     * @throws IOException if the selector fails
+     */
+    public void run() throws IOException {
         while (!stopped) {
             turn();
         }
@@ -124,7 +130,7 @@
     }
 
     /** The longest turn since this was last asked for: how long the sockets had to wait. */
-    long takeLongestTurn() {
+    public long takeLongestTurn() {
         long turn = longest;
         longest = 0;
         return turn;
--- a/src/main/java/loomreel/ops/OpsConnection.java
+++ b/src/main/java/loomreel/ops/OpsConnection.java
@@ -11,12 +11,12 @@
 import loomreel.http.BadMessageException;
 import loomreel.http.Heads;
 import loomreel.http.Message;
-import loomreel.net.Connection;
-import loomreel.net.EventLoop;
-import loomreel.net.Operations;
+import loomreel.http.HttpConnection;
+import loomreel.io.EventLoop;
+import loomreel.process.Operations;
 
 /** One call of an operator's: it is answered at once, and the connection ends. */
-final class OpsConnection extends Connection {
+final class OpsConnection extends HttpConnection {
     /** How long the call may take to come in, and then the other side's close. */
     private static final long PATIENCE = 2_000_000;
     private static final String READINESS = "/ops/readiness";
--- a/src/main/java/loomreel/ops/OpsServer.java
+++ b/src/main/java/loomreel/ops/OpsServer.java
@@ -8,9 +8,9 @@
 import java.nio.channels.SocketChannel;
 import java.util.LinkedHashSet;
 import java.util.Set;
-import loomreel.net.BoundedLog;
-import loomreel.net.EventLoop;
-import loomreel.net.Operations;
+import loomreel.io.BoundedLog;
+import loomreel.io.EventLoop;
+import loomreel.process.Operations;
 
 /** Listens at the second address. Its descriptors are its own, so that no crowd of clients keeps operators out. */
 public final class OpsServer implements EventLoop.Handler {
--- a/src/main/java/loomreel/net/Operations.java
+++ b/src/main/java/loomreel/process/Operations.java
@@ -1,4 +1,4 @@
-package loomreel.net;
+package loomreel.process;
 
 import java.io.IOException;
 import java.util.Map;
--- a/src/main/java/loomreel/net/Sibling.java
+++ b/src/main/java/loomreel/process/Sibling.java
@@ -1,4 +1,4 @@
-package loomreel.net;
+package loomreel.process;
 
 import java.io.IOException;
 import java.net.StandardProtocolFamily;
@@ -16,7 +16,10 @@
 import java.util.Set;
 import loomreel.http.BadMessageException;
 import loomreel.http.Heads;
+import loomreel.http.HttpConnection;
 import loomreel.http.Message;
+import loomreel.io.BoundedLog;
+import loomreel.io.EventLoop;
 
 /**
  * The tie to the other process of this dispatcher, while a new one takes over from an old one: both accept at the
@@ -41,7 +44,7 @@
 
     private final EventLoop loop;
     private final Listener listener;
-    private final BoundedLog log = new BoundedLog("loomreel.net.sibling");
+    private final BoundedLog log = new BoundedLog("loomreel.process.sibling");
     private final ServerSocketChannel channel;
     private final Set<Link> links = new LinkedHashSet<>();
 
@@ -114,7 +117,7 @@
     }
 
     /** One side of the tie. */
-    private final class Link extends Connection {
+    private final class Link extends HttpConnection {
         private final boolean newer;
         private final Map<Long, Runnable> awaited = new HashMap<>();
         private long last;
--- a/src/main/java/loomreel/net/ClientConnection.java
+++ b/src/main/java/loomreel/web/ClientConnection.java
@@ -1,17 +1,22 @@
-package loomreel.net;
+package loomreel.web;
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
 import java.util.Locale;
+import loomreel.core.Figures;
+import loomreel.core.Rpc;
+import loomreel.core.UnavailableStatus;
 import loomreel.decision.Model;
 import loomreel.http.BadMessageException;
-import loomreel.http.Bytes;
 import loomreel.http.Heads;
+import loomreel.http.HttpConnection;
 import loomreel.http.Message;
+import loomreel.io.Bytes;
+import loomreel.io.EventLoop;
 
 /** A connection that came in: from a client with jobs, from a copy worker with news, or from the front. */
-final class ClientConnection extends Connection implements Rpc.Caller {
+final class ClientConnection extends HttpConnection implements Rpc.Caller {
     /**
      * How long the first request may take to come in, counted from the connection's start, so that whoever sends byte
      * by byte gains nothing; and each further one, an answer, or the other side's close after the last answer.
@@ -24,7 +29,7 @@
     /** No machine has more; a job that asks for more is a mistake. */
     private static final int MOST_SLOTS = 1024;
 
-    private final Server server;
+    private final HttpFront front;
     /** The job that it waits for. */
     private Rpc rpc;
     /** What has come behind a request that is not answered yet. */
@@ -40,9 +45,9 @@
     private boolean bringsNews;
     private EventLoop.Timer timer;
 
-    ClientConnection(EventLoop loop, SocketChannel channel, Server server) throws IOException {
+    ClientConnection(EventLoop loop, SocketChannel channel, HttpFront front) throws IOException {
         super(loop, channel, true, true);
-        this.server = server;
+        this.front = front;
         ahead = new Bytes(loop.pool);
         within();
     }
@@ -71,7 +76,7 @@
         if (!owes()) {
             super.take(in);
             if (timer == null && !isClosed() && !owes() && !leaving && !parser.atStart()) {
-                server.busy(this);
+                front.busy(this);
                 within();
             }
             if (!isClosed() && !owes() && !leaving && parser.expectsContinue()) {
@@ -91,7 +96,7 @@
     private void within() {
         stopTimer();
         timer = loop.at(loop.now() + PATIENCE, () -> {
-            server.tooLate();
+            front.tooLate();
             if (!owes() && !leaving && !parser.atStart()) {
                 refuse(408);
             } else {
@@ -110,7 +115,7 @@
     @Override
     protected void received(Message message) {
         stopTimer();
-        server.busy(this);
+        front.busy(this);
         answering = true;
         lastAnswer = !message.keepAlive();
         String target = message.target();
@@ -118,19 +123,19 @@
         String path = query < 0 ? target : target.substring(0, query);
         if (path.equals("/health/ready")) {
             boolean asks = message.method().equals("GET") || message.method().equals("HEAD");
-            answer(!asks ? 405 : server.takesClients() ? 200 : 503, new byte[0], asks ? null : "Allow: GET, HEAD");
-        } else if (!path.equals("/_jobs/news") && !server.classes.containsKey(requestClass(path))) {
+            answer(!asks ? 405 : front.gate.takesClients() ? 200 : 503, new byte[0], asks ? null : "Allow: GET, HEAD");
+        } else if (!path.equals("/_jobs/news") && !front.classes.containsKey(requestClass(path))) {
             answer(404, new byte[0], null);
         } else if (!message.method().equals("POST")) {
             answer(405, new byte[0], "Allow: POST");
         } else if (path.equals("/_jobs/news")) {
             news(message.body().toArray());
-        } else if (!server.hasRoom()) {
-            server.dispatcher.figures.settled(server.classes.get(requestClass(path)), Figures.Settled.BUSY);
+        } else if (!front.hasRoom()) {
+            front.dispatcher.figures.settled(front.classes.get(requestClass(path)), Figures.Settled.BUSY);
             lastAnswer = true;
-            refused(server.noRoom());
+            refused(front.noRoom());
         } else {
-            job(message, server.classes.get(requestClass(path)));
+            job(message, front.classes.get(requestClass(path)));
             return;
         }
         message.body().release();
@@ -149,16 +154,16 @@
         double cost = hint == null ? Double.NaN : number(hint);
         // What the module adds up must be sound: one job of 1e300 would drown all others in its figures.
         if (id == null || !id.matches("[0-9a-fA-F]{16}") || budget == null || !budget.matches("[0-9]{1,9}")
-                || slots < 0 || cost < 0 || server.dispatcher.inUse(id)) {
+                || slots < 0 || cost < 0 || front.dispatcher.inUse(id)) {
             message.body().release();
             answer(400, new byte[0], null);
             return;
         }
-        server.known(this);
+        front.known(this);
         long due = loop.now() + 1000 * Long.parseLong(budget);
-        rpc = new Rpc(id, requestClass, message.target(), message.body(), due, this, server.dispatcher.figures);
-        server.dispatcher.take(rpc, new Model.Arrival(id, message.header("x-route-hash"), Math.max(1, slots),
-                requestClass, server.tenants.getOrDefault(message.header("x-caller"), -1), due,
+        rpc = new Rpc(id, requestClass, message.target(), null, message.body(), due, this, front.dispatcher.figures);
+        front.dispatcher.take(rpc, new Model.Arrival(id, message.header("x-route-hash"), Math.max(1, slots),
+                requestClass, front.tenants.getOrDefault(message.header("x-caller"), -1), due,
                 "1".equals(message.header("x-again")), cost));
     }
 
@@ -184,19 +189,19 @@
     private void news(byte[] body) {
         JobNews news = JobNews.of(body);
         if (news == null) {
-            server.log.warn("a call-back that is no news of a job");
+            front.log.warn("a call-back that is no news of a job");
             answer(400, new byte[0], null);
             return;
         }
-        server.known(this);
+        front.known(this);
         bringsNews = true;
         // Answered first: a copy worker repeats what is not answered, and the rest may take a while. What is for the
         // other process is answered once that has it: nobody would repeat what is lost on the way.
-        if (server.dispatcher.holds(news.id())) {
+        if (front.dispatcher.holds(news.id())) {
             answer(200, new byte[0], null);
-            server.dispatcher.news(news);
+            news.tell(front.dispatcher);
         } else {
-            server.pass(body, () -> {
+            front.gate.pass(body, () -> {
                 if (!isClosed()) {
                     answer(200, new byte[0], null);
                 }
@@ -224,7 +229,7 @@
         rpc = null;
         answering = true;
         wrong = status >= 400 && status < 500;
-        lastAnswer |= server.isLast(this);
+        lastAnswer |= front.gate.isLast(bringsNews);
         String[] close = lastAnswer ? new String[] {"Connection: close"} : new String[0];
         String[] headers = header == null ? close
                 : lastAnswer ? new String[] {header, close[0]} : new String[] {header};
@@ -242,8 +247,8 @@
 
     @Override
     protected void malformed(BadMessageException why) {
-        server.log.info("a request that cannot be read: " + why.getMessage());
-        server.busy(this);
+        front.log.info("a request that cannot be read: " + why.getMessage());
+        front.busy(this);
         refuse(why.status);
     }
 
@@ -266,7 +271,7 @@
     private void next() {
         timer = null;
         answering = false;
-        server.idle(this);
+        front.idle(this);
         if (ahead.length() > 0) {
             byte[] next = ahead.toArray();
             ahead.release();
@@ -279,7 +284,7 @@
     /** Closing at once would reset the connection if anything has come unread, and the answer could be lost. */
     private void leave() {
         leaving = true;
-        server.leaving(this);
+        front.leaving(this);
         endOutput();
         if (!isClosed()) {
             within();
@@ -291,7 +296,7 @@
         if (rpc != null) {
             Rpc gone = rpc;
             rpc = null;
-            server.dispatcher.withdraw(gone);
+            front.dispatcher.withdraw(gone);
         }
     }
 
@@ -302,7 +307,7 @@
             super.close();
             ahead.release();
             stopTimer();
-            server.closed(this);
+            front.closed(this);
         }
     }
 }
--- /dev/null
+++ b/src/main/java/loomreel/web/HttpFront.java
@@ -0,0 +1,252 @@
+package loomreel.web;
+
+import java.io.IOException;
+import java.net.StandardSocketOptions;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Set;
+import loomreel.core.Dispatcher;
+import loomreel.core.UnavailableStatus;
+import loomreel.decision.Model;
+import loomreel.io.BoundedLog;
+import loomreel.io.EventLoop;
+
+/** Accepts the connections of clients and of copy workers with news, and keeps room for those that bring something. */
+public final class HttpFront implements EventLoop.Handler {
+    /** What the life of the process means for those who come. */
+    public interface Gate {
+        /** Whether clients should come here. */
+        boolean takesClients();
+
+        /** Whether jobs are taken; where not, others have room for them now. */
+        boolean takesJobs();
+
+        /** Whether every connection closes when it falls idle. */
+        boolean isClosing();
+
+        /** Whether an answer is the last one on its connection. */
+        boolean isLast(boolean bringsNews);
+
+        /** News that nobody here waits for; {@code taken} is called when nothing more is to be done for it. */
+        void pass(byte[] news, Runnable taken);
+    }
+
+    /** What a client is told that there is no room for, in microseconds. */
+    private static final long COME_BACK = 500_000;
+    /** A connection that has said nothing of use may have its first request unread for so long. */
+    private static final long FRESH_FOR = 100_000;
+    /** The part of what comes in that is kept for connections that have brought something, while others crowd in. */
+    private static final double KNOWN = 0.5;
+    /**
+     * The part of all descriptors that idle connections may hold. Clients may ask once on each and stay; they hold a
+     * third of the descriptors at most, and what they keep for nothing they lack for the next job.
+     */
+    private static final double IDLE = 1 / 8.0;
+    private static final int ACCEPT_AT_ONCE = 64;
+    private static final long ACCEPT_AGAIN = 100_000;
+
+    final Map<String, Integer> classes = new HashMap<>();
+    final Map<String, Integer> tenants = new HashMap<>();
+    final Dispatcher dispatcher;
+    final Gate gate;
+    final BoundedLog log = new BoundedLog("loomreel.web.front");
+    private final EventLoop loop;
+    private final ServerSocketChannel listener;
+    private final SelectionKey key;
+    private int most = Integer.MAX_VALUE;
+    private int mostIdle = Integer.MAX_VALUE;
+    private final Set<ClientConnection> clients = new LinkedHashSet<>();
+    /** Those that have brought neither a job nor news so far, or are leaving, and since when; the oldest first. */
+    private final Map<ClientConnection, Long> strangers = new LinkedHashMap<>();
+    /** Those without a request, the longest idle first. */
+    private final Set<ClientConnection> idle = new LinkedHashSet<>();
+    private int accepted;
+    private int strangersClosed;
+    private int idleClosed;
+    private int tooLate;
+    private int noRoom;
+    private boolean paused;
+    private boolean accepting = true;
+
+    /**
+     * A front that accepts once the loop runs.
+     *
+     * @param listener bound, not blocking
+     * @throws IOException if it cannot be registered
+     */
+    public HttpFront(Dispatcher dispatcher, Model.Settings settings, ServerSocketChannel listener, Gate gate)
+            throws IOException {
+        this.dispatcher = dispatcher;
+        this.loop = dispatcher.loop;
+        this.listener = listener;
+        this.gate = gate;
+        for (Model.RequestClass c : settings.classes()) {
+            classes.put(c.name(), classes.size());
+        }
+        for (Model.Tenant t : settings.tenants()) {
+            tenants.put(t.name(), tenants.size());
+        }
+        key = listener.register(loop.selector, SelectionKey.OP_ACCEPT, this);
+    }
+
+    /** From now on so many connections may be open, and of {@code granted} descriptors a part may lie idle. */
+    public void room(int connections, int granted) {
+        most = connections;
+        mostIdle = (int) Math.max(4, granted * IDLE);
+        for (int over = clients.size() - most; over > 0 && accepting && !paused; over--) {
+            makeRoom();
+        }
+    }
+
+    /** Accepts no more: another process does. */
+    public void stopAccepting() {
+        accepting = false;
+        key.cancel();
+    }
+
+    /** Ends the idle connections of clients; copy workers keep theirs where {@code newsToo} is not set. */
+    public void closeIdle(boolean newsToo) {
+        new ArrayList<>(idle).stream().filter(c -> newsToo || !c.bringsNews()).forEach(ClientConnection::close);
+    }
+
+    /** Whether an answer is still owed or under way. */
+    public boolean owes() {
+        return clients.stream().anyMatch(ClientConnection::owes);
+    }
+
+    /** What has come of all connections so far. */
+    public String summary() {
+        return "connections " + clients.size() + ", of no use so far " + strangers.size() + ", idle " + idle.size()
+                + "; in all: accepted " + accepted + ", closed for room: of no use " + strangersClosed + ", idle "
+                + idleClosed + "; too slow " + tooLate + ", jobs without room " + noRoom;
+    }
+
+    /** A connection did not say what it had to say in time. */
+    void tooLate() {
+        tooLate++;
+    }
+
+    /** Whether another job may be taken. */
+    boolean hasRoom() {
+        boolean room = gate.takesJobs() && dispatcher.hasRoom();
+        noRoom += room ? 0 : 1;
+        return room;
+    }
+
+    /** What a job is told that is not taken: while clients are sent away, others have room for it now. */
+    UnavailableStatus noRoom() {
+        return new UnavailableStatus(gate.takesJobs() ? COME_BACK : 0);
+    }
+
+    @Override
+    public void ready(SelectionKey selected) {
+        try {
+            for (int i = 0; i < ACCEPT_AT_ONCE && !paused && accepting; i++) {
+                SocketChannel channel = listener.accept();
+                if (channel == null) {
+                    return;
+                }
+                accept(channel);
+            }
+        } catch (IOException e) {
+            // The connection stays ready to be accepted: without a pause the loop would do nothing but fail at it.
+            log.warn("cannot accept: " + e.getMessage());
+            pause(ACCEPT_AGAIN);
+        }
+    }
+
+    private void accept(SocketChannel channel) throws IOException {
+        try {
+            channel.configureBlocking(false);
+            channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+            ClientConnection connection = new ClientConnection(loop, channel, this);
+            clients.add(connection);
+            accepted++;
+            strangers.put(connection, loop.now());
+        } catch (IOException e) {
+            channel.close();
+        }
+        if (clients.size() >= most) {
+            makeRoom();
+        }
+    }
+
+    /**
+     * Closes the oldest connection that never said anything of use. Whoever opens connections by the hundred must not
+     * push out those that bring jobs and news, nor a new one whose first request may be here, unread. Where the
+     * known ones are more than their part, the longest idle goes, or there would be no room to tell the two apart.
+     */
+    private void makeRoom() {
+        if (!idle.isEmpty() && (strangers.isEmpty() || clients.size() - strangers.size() > most * KNOWN)) {
+            closeLongestIdle();
+        } else if (!strangers.isEmpty()) {
+            Map.Entry<ClientConnection, Long> oldest = strangers.entrySet().iterator().next();
+            long wait = oldest.getValue() + FRESH_FOR - loop.now();
+            if (wait <= 0) {
+                strangersClosed++;
+                oldest.getKey().close();
+            } else {
+                pause(wait);
+            }
+        } else {
+            log.warn("no descriptor left for clients: accepting no more");
+            pause(ACCEPT_AGAIN);
+        }
+    }
+
+    private void closeLongestIdle() {
+        idleClosed++;
+        idle.iterator().next().close();
+    }
+
+    private void pause(long pause) {
+        if (!accepting) {
+            return;
+        }
+        paused = true;
+        key.interestOps(0);
+        loop.at(loop.now() + pause, () -> {
+            paused = false;
+            if (accepting) {
+                key.interestOps(SelectionKey.OP_ACCEPT);
+            }
+        });
+    }
+
+    /** A connection has brought a job or news. */
+    void known(ClientConnection connection) {
+        strangers.remove(connection);
+    }
+
+    void leaving(ClientConnection connection) {
+        strangers.remove(connection);
+        strangers.put(connection, loop.now());
+    }
+
+    void busy(ClientConnection connection) {
+        idle.remove(connection);
+    }
+
+    void idle(ClientConnection connection) {
+        if (gate.isClosing()) {
+            connection.close();
+        } else {
+            idle.add(connection);
+            if (idle.size() > mostIdle) {
+                closeLongestIdle();
+            }
+        }
+    }
+
+    void closed(ClientConnection connection) {
+        clients.remove(connection);
+        strangers.remove(connection);
+        idle.remove(connection);
+    }
+}
--- /dev/null
+++ b/src/main/java/loomreel/web/HttpSubchannel.java
@@ -0,0 +1,179 @@
+package loomreel.web;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import loomreel.core.CallAttempt;
+import loomreel.core.Dispatcher;
+import loomreel.core.Rpc;
+import loomreel.core.Subchannel;
+import loomreel.decision.Model;
+import loomreel.decision.Model.Outcome;
+import loomreel.http.Exchange;
+import loomreel.http.Heads;
+import loomreel.http.Message;
+import loomreel.http.Peer;
+import loomreel.http.PeerConnection;
+import loomreel.io.BoundedLog;
+import loomreel.io.Bytes;
+
+/** A copy worker that speaks HTTP, and the requests it understands. */
+final class HttpSubchannel implements Subchannel {
+    /** How long a probe or a cancellation may take: twice the time in which a connection must come up. */
+    private static final int PATIENCE = 2;
+
+    private final Dispatcher dispatcher;
+    private final BoundedLog log;
+    private final Peer peer;
+    private final long patience;
+    private Model.Entry entry;
+
+    HttpSubchannel(Dispatcher dispatcher, Model.Entry entry, Peer peer, BoundedLog log) {
+        this.dispatcher = dispatcher;
+        this.entry = entry;
+        this.peer = peer;
+        this.log = log;
+        this.patience = PATIENCE * peer.connectWithin();
+    }
+
+    /** What the list says now. A process that started anew knows nothing of the old one's connections. */
+    void update(InetSocketAddress address, Model.Entry next) {
+        if (!address.equals(peer.address()) || next.startedAt() != entry.startedAt()) {
+            peer.renew(address);
+        }
+        entry = next;
+    }
+
+    Model.Entry entry() {
+        return entry;
+    }
+
+    /** It has left the list: what is out may end, and its connections go. */
+    void retire() {
+        peer.renew(peer.address());
+    }
+
+    void closeStale() {
+        peer.closeStale();
+    }
+
+    @Override
+    public Carrier post(CallAttempt attempt) {
+        Rpc rpc = attempt.rpc;
+        long left = Math.max(1, (attempt.deadline - attempt.sentAt) / 1000);
+        String id = "X-Call-Id: " + rpc.id;
+        String budget = "X-Budget-Ms: " + left;
+        Bytes request = rpc.contentType == null ? request("POST", rpc.target, rpc.body.length(), id, budget)
+                : request("POST", rpc.target, rpc.body.length(), id, budget, "Content-Type: " + rpc.contentType);
+        request.append(rpc.body);
+        Call call = new Call(attempt);
+        PeerConnection connection = peer.call(request, call);
+        call.connection = attempt.hasEnded() ? null : connection;
+        return call;
+    }
+
+    /** The call that hands a job in, until the copy worker has said whether it takes it. */
+    private final class Call implements Exchange, Carrier {
+        private final CallAttempt attempt;
+        private PeerConnection connection;
+        private boolean accepted;
+
+        Call(CallAttempt attempt) {
+            this.attempt = attempt;
+        }
+
+        @Override
+        public long deadline() {
+            return attempt.deadline;
+        }
+
+        @Override
+        public void written() {
+            attempt.written();
+        }
+
+        @Override
+        public void answered(Message message) {
+            connection = null;
+            // News may have ended it before the 202, and the connection waited for that alone.
+            if (attempt.hasEnded()) {
+                return;
+            }
+            int status = message.status();
+            if (status == 202) {
+                accepted = true;
+                attempt.accepted();
+                return;
+            }
+            boolean turnedAway = (status == 503 || status == 504) && "1".equals(message.header("x-rejected"));
+            if (!turnedAway && status != 500) {
+                log.warn(HttpSubchannel.this + " answers a job with " + status);
+            }
+            attempt.end(turnedAway ? Outcome.FULL : Outcome.ERROR, LoadReport.of(message.header("x-load-report")));
+        }
+
+        @Override
+        public void broken(Outcome outcome) {
+            connection = null;
+            attempt.end(outcome, null);
+        }
+
+        /** Closes the connection before the 202, and asks for the job's end after it. */
+        @Override
+        public void cancel() {
+            if (connection != null) {
+                connection.abandon();
+                connection = null;
+            } else if (accepted) {
+                // Nothing hangs on the answer: the attempt ends here.
+                peer.call(request("DELETE", "/jobs/" + attempt.rpc.id, 0), new Errand());
+            }
+        }
+    }
+
+    @Override
+    public void probe() {
+        long sentAt = dispatcher.loop.now();
+        peer.call(request("GET", "/stats", 0), new Errand() {
+            @Override
+            public void answered(Message message) {
+                String header = message.header("x-load-report");
+                boolean well = message.status() == 200;
+                String load = header != null ? header : new String(message.body().toArray(), StandardCharsets.UTF_8);
+                dispatcher.probed(entry.id(), well ? Outcome.OK : Outcome.ERROR, sentAt, well ? LoadReport.of(load) : null);
+            }
+
+            @Override
+            public void broken(Outcome outcome) {
+                dispatcher.probed(entry.id(), outcome, sentAt, null);
+            }
+        });
+    }
+
+    private Bytes request(String method, String target, int length, String... headers) {
+        Bytes request = new Bytes(dispatcher.loop.pool);
+        request.append(Heads.request(method, target, peer.address().getHostString() + ":" + peer.address().getPort(),
+                length, headers));
+        return request;
+    }
+
+    @Override
+    public String toString() {
+        return "copy worker " + peer;
+    }
+
+    /** A short call whose answer matters to nobody, unless overridden. */
+    private class Errand implements Exchange {
+        private final long deadline = dispatcher.loop.now() + patience;
+
+        @Override
+        public long deadline() {
+            return deadline;
+        }
+
+        @Override
+        public void answered(Message message) { }
+
+        @Override
+        public void broken(Outcome outcome) { }
+    }
+}
--- /dev/null
+++ b/src/main/java/loomreel/web/HttpWorkers.java
@@ -0,0 +1,130 @@
+package loomreel.web;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import loomreel.config.ResolverResult;
+import loomreel.core.Dispatcher;
+import loomreel.core.Subchannel;
+import loomreel.core.WorkerSource;
+import loomreel.decision.Model;
+import loomreel.http.KeepAlive;
+import loomreel.http.Peer;
+import loomreel.io.BoundedLog;
+
+/** The copy workers that are called over HTTP: from discovery, or from a list that stays as it is. */
+public final class HttpWorkers implements WorkerSource, Resolver.Listener {
+    private static final long SECOND = 1_000_000;
+    /** Our side of an idle connection ends at this share of the time after which the copy worker ends it. */
+    private static final double IDLE_SHARE = 0.7;
+
+    private final Dispatcher dispatcher;
+    private final long connectWithin;
+    private final BoundedLog log = new BoundedLog("loomreel.web.worker");
+    private final BoundedLog peerLog = new BoundedLog("loomreel.http.peer");
+    private final Peer.Descriptors descriptors = new Peer.Descriptors(0);
+    private final KeepAlive keepAlive;
+    private final ResolverResult known;
+    /** Null where the list stays as it is. */
+    private final Resolver resolver;
+    private final Map<String, HttpSubchannel> subchannels = new HashMap<>();
+
+    /**
+     * Copy workers as they were last known.
+     *
+     * @param discovery where the list comes from, or null where {@code known} is all there is
+     * @param connectWithin how long a connection may take to come up, in microseconds
+     * @param idleFor how long a copy worker keeps an idle connection, in microseconds
+     */
+    public HttpWorkers(Dispatcher dispatcher, ResolverResult known, InetSocketAddress discovery, long connectWithin,
+            long idleFor) {
+        this.dispatcher = dispatcher;
+        this.known = known;
+        this.connectWithin = connectWithin;
+        keepAlive = new KeepAlive((long) (idleFor * IDLE_SHARE));
+        resolver = discovery == null ? null : new Resolver(dispatcher.loop, new Peer(dispatcher.loop, "discovery",
+                discovery, new Peer.Descriptors(1), connectWithin, new KeepAlive(SECOND), peerLog), known.seq(), this);
+    }
+
+    /** From now on so many descriptors are for calls. */
+    public void room(int sockets) {
+        descriptors.most(sockets);
+    }
+
+    /** Tells the list held so far. */
+    public void start() {
+        resolved(known);
+    }
+
+    /** Discovery is at another address from now on. */
+    public void moveDiscovery(InetSocketAddress address) {
+        if (resolver != null) {
+            resolver.moveTo(address);
+        }
+    }
+
+    @Override
+    public Subchannel find(String id) {
+        return subchannels.get(id);
+    }
+
+    @Override
+    public int size() {
+        return subchannels.size();
+    }
+
+    @Override
+    public List<Model.Entry> entries() {
+        return subchannels.values().stream().map(HttpSubchannel::entry).toList();
+    }
+
+    @Override
+    public void watch() {
+        if (resolver != null) {
+            resolver.watch();
+        }
+    }
+
+    @Override
+    public void everySecond() {
+        subchannels.values().forEach(HttpSubchannel::closeStale);
+    }
+
+    @Override
+    public void lost() {
+        dispatcher.listLost();
+    }
+
+    @Override
+    public void resolved(ResolverResult result) {
+        Map<String, HttpSubchannel> before = new HashMap<>(subchannels);
+        for (Model.Entry entry : result.entries()) {
+            before.remove(entry.id());
+            if (entry.state() == Model.State.GONE) {
+                retire(entry.id());
+            } else {
+                subchannels.computeIfAbsent(entry.id(), id -> subchannel(entry, result))
+                        .update(result.addresses().get(entry.id()), entry);
+            }
+        }
+        if (result.whole()) {
+            new ArrayList<>(before.keySet()).forEach(this::retire);
+        }
+        dispatcher.listed(this, result.whole(), result.entries());
+    }
+
+    private HttpSubchannel subchannel(Model.Entry entry, ResolverResult result) {
+        Peer peer = new Peer(dispatcher.loop, entry.id(), result.addresses().get(entry.id()), descriptors,
+                connectWithin, keepAlive, peerLog);
+        return new HttpSubchannel(dispatcher, entry, peer, log);
+    }
+
+    private void retire(String id) {
+        HttpSubchannel gone = subchannels.remove(id);
+        if (gone != null) {
+            gone.retire();
+        }
+    }
+}
--- a/src/main/java/loomreel/net/LoadReport.java
+++ b/src/main/java/loomreel/web/LoadReport.java
@@ -1,4 +1,4 @@
-package loomreel.net;
+package loomreel.web;
 
 import java.io.IOException;
 import java.util.HashMap;
--- a/src/main/java/loomreel/net/Resolver.java
+++ b/src/main/java/loomreel/web/Resolver.java
@@ -1,13 +1,18 @@
-package loomreel.net;
+package loomreel.web;
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import loomreel.config.JsonTree;
 import loomreel.config.ResolverResult;
 import loomreel.decision.Model.Outcome;
-import loomreel.http.Bytes;
+import loomreel.http.Exchange;
 import loomreel.http.Heads;
 import loomreel.http.Message;
+import loomreel.http.Peer;
+import loomreel.http.PeerConnection;
+import loomreel.io.BoundedLog;
+import loomreel.io.Bytes;
+import loomreel.io.EventLoop;
 
 /** Watches discovery's list of copy workers, one call after the other, for as long as that goes well. */
 final class Resolver {
@@ -32,7 +37,7 @@
     private final EventLoop loop;
     private final Peer discovery;
     private final Listener listener;
-    private final BoundedLog log = new BoundedLog("loomreel.net.resolver");
+    private final BoundedLog log = new BoundedLog("loomreel.web.resolver");
     private long seq;
     private boolean calling;
     /** What carries the call that is out. */
--- a/src/test/java/loomreel/net/Http.java
+++ b/src/test/java/loomreel/program/Http.java
@@ -1,4 +1,4 @@
-package loomreel.net;
+package loomreel.program;
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
--- a/src/test/java/loomreel/net/Platform.java
+++ b/src/test/java/loomreel/program/Platform.java
@@ -1,4 +1,4 @@
-package loomreel.net;
+package loomreel.program;
 
 import com.sun.jna.Library;
 import com.sun.jna.Native;
--- a/src/test/java/loomreel/net/ServeTest.java
+++ b/src/test/java/loomreel/program/ServeTest.java
@@ -1,4 +1,4 @@
-package loomreel.net;
+package loomreel.program;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
