Read settings in a strict subset of CUE: ANTLR grammar, unification, records, check and schema

Need: every subsystem to come needs settings of its own, checked whole before they are used; the platform's JSON has neither types nor defaults nor places for its errors. Change: loomreel.settings.cue parses (ANTLR, depth bounded before the parser), unifies (conjuncts are gathered and judged as a set, closed definitions, defaults, patterns, references) and binds to records; installation.cue is the schema of an installation; `loomreel check FILE` tells all errors at once with file, line, column, field and reason, `loomreel schema [--json]` the schema. Regular expressions are re2j's: linear, and the syntax of CUE's own tools.

--- /dev/null
+++ b/src/main/java/loomreel/settings/FaktorySettings.java
@@ -0,0 +1,21 @@
+package loomreel.settings;
+
+import java.net.InetSocketAddress;
+import java.util.Map;
+
+/** Faktory's section of a file; {@code installation.cue} says what each field means. What is absent is null. */
+public record FaktorySettings(InetSocketAddress listen, String password, int iterations, Workers workers,
+        Map<String, Queue> queues, Map<String, JobType> jobTypes, double share, Backlog backlog, int connections,
+        Size command, int retry, Micros backoff, Micros remember, int rememberMost, boolean mayMutate) {
+    /** How Faktory copy workers may come. */
+    public record Workers(boolean allowed, Micros beatWithin, Micros fetchWait, int slots, boolean cold) { }
+
+    /** What a queue's jobs are. */
+    public record Queue(String clazz, int weight, String tenant) { }
+
+    /** What a job type's jobs are, whatever their queue. */
+    public record JobType(String clazz) { }
+
+    /** How much may wait. */
+    public record Backlog(int jobs, Size bytes) { }
+}
--- a/src/test/java/loomreel/arch/ArrowsTest.java
+++ b/src/test/java/loomreel/arch/ArrowsTest.java
@@ -36,6 +36,9 @@
     @ArchTest
     static final ArchRule PROCESS = knowsOnly("process", "http", "io", "core", "decision");
 
+    @ArchTest
+    static final ArchRule SETTINGS = knowsOnly("settings", "config", "decision");
+
     @ArchTest
     static final ArchRule NO_CIRCLES = slices().matching("loomreel.(*)..").should().beFreeOfCycles();
 
