--- /dev/null
+++ b/src/main/java/loomreel/cli/Running.java
@@ -0,0 +1,54 @@
+package loomreel.cli;
+
+import java.io.IOException;
+import java.util.concurrent.CountDownLatch;
+import java.util.function.Consumer;
+import loomreel.config.ServeConfig;
+import loomreel.ops.OpsServer;
+import loomreel.server.Server;
+import loomreel.settings.FaktorySettings;
+import sun.misc.Signal;
+
+/** A dispatcher in the foreground, until SIGTERM and then until empty. */
+final class Running {
+    private Running() { }
+
+    /**
+     * Runs it; the exit code.
+     *
+     * @param onHangUp what SIGHUP has done, on a thread of the JVM's
+     */
+    static int run(ServeConfig config, FaktorySettings faktory, Consumer<Server> onHangUp) {
+        Server server;
+        try {
+            server = new Server(config, faktory);
+            if (config.operators() != null) {
+                new OpsServer(server.loop(), config.operators(), server);
+            }
+        } catch (IOException e) {
+            System.err.println("loomreel: cannot listen: " + e.getMessage());
+            return 1;
+        }
+        // Left to itself the JVM ends on SIGHUP as it does on SIGTERM.
+        Signal.handle(new Signal("HUP"), signal -> onHangUp.accept(server));
+        CountDownLatch done = new CountDownLatch(1);
+        // The JVM ends when its hooks have ended: this one holds it until all that was taken is served.
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            server.drain();
+            try {
+                done.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }, "drain"));
+        try {
+            server.run();
+            return 0;
+        } catch (IOException e) {
+            System.err.println("loomreel: " + e.getMessage());
+            return 1;
+        } finally {
+            done.countDown();
+        }
+    }
+}
--- a/src/main/java/loomreel/cli/Serve.java
+++ b/src/main/java/loomreel/cli/Serve.java
@@ -1,55 +1,44 @@
 package loomreel.cli;
 
-import java.io.IOException;
+import java.nio.file.Path;
 import java.util.concurrent.Callable;
-import java.util.concurrent.CountDownLatch;
+import java.util.stream.Collectors;
 import loomreel.config.ConfigException;
 import loomreel.config.ServeConfig;
-import loomreel.server.Server;
-import loomreel.ops.OpsServer;
+import loomreel.decision.Model;
+import loomreel.settings.FaktorySettings;
+import loomreel.settings.InstallationFile;
+import loomreel.settings.cue.CueException;
 import picocli.CommandLine.Command;
-import sun.misc.Signal;
+import picocli.CommandLine.Option;
 
 /** The real dispatcher, in the foreground. */
 @Command(name = "serve", description = "Serves until SIGTERM, then until empty. Configured by "
         + "BALANCER_CONFIG, which SIGHUP has read again.")
 final class Serve implements Callable<Integer> {
+    @Option(names = "--settings", paramLabel = "FILE",
+            description = "what the platform's configuration does not hold: see `loomreel schema`, #Features")
+    private Path settings;
+
     @Override
     public Integer call() {
-        Server server;
         try {
             ServeConfig config = ServeConfig.read(System.getenv());
-            server = new Server(config);
-            if (config.operators() != null) {
-                new OpsServer(server.loop(), config.operators(), server);
-            }
+            FaktorySettings faktory = settings == null ? null : features(config).faktory();
+            return Running.run(config, faktory, server -> server.reload(System.getenv()));
         } catch (ConfigException e) {
             System.err.println("loomreel: " + e.getMessage());
             return 2;
-        } catch (IOException e) {
-            System.err.println("loomreel: cannot listen: " + e.getMessage());
-            return 1;
         }
-        // Left to itself the JVM ends on SIGHUP as it does on SIGTERM.
-        Signal.handle(new Signal("HUP"), signal -> server.reload(System.getenv()));
-        CountDownLatch done = new CountDownLatch(1);
-        // The JVM ends when its hooks have ended: this one holds it until all that was taken is served.
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            server.drain();
-            try {
-                done.await();
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        }, "drain"));
+    }
+
+    private InstallationFile.Features features(ServeConfig config) throws ConfigException {
         try {
-            server.run();
-            return 0;
-        } catch (IOException e) {
-            System.err.println("loomreel: " + e.getMessage());
-            return 1;
-        } finally {
-            done.countDown();
+            return InstallationFile.features(settings,
+                    config.settings().classes().stream().map(Model.RequestClass::name).collect(Collectors.toSet()),
+                    config.settings().tenants().stream().map(Model.Tenant::name).collect(Collectors.toSet()));
+        } catch (CueException e) {
+            throw new ConfigException(e.getMessage());
         }
     }
 }
--- a/src/main/java/loomreel/cli/StderrLoggerFinder.java
+++ b/src/main/java/loomreel/cli/SystemLoggers.java
@@ -4,18 +4,27 @@
 import java.text.MessageFormat;
 import java.time.Instant;
 import java.util.ResourceBundle;
+import java.util.function.Function;
 
 /**
  * Sends {@link System.Logger} to standard error, a line an entry. The platform's own way there (java.util.logging)
  * falls silent as soon as the process is asked to stop, which is when a drain has to be followed.
  */
-public final class StderrLoggerFinder extends System.LoggerFinder {
+public final class SystemLoggers extends System.LoggerFinder {
+    /** Makes the loggers of this process; those of a plain line unless a command wants others. */
+    private static volatile Function<String, System.Logger> maker = StderrLogger::new;
+
     /** Made by the platform. */
-    public StderrLoggerFinder() { }
+    public SystemLoggers() { }
+
+    /** From now on loggers are made so; those that are made stay as they are. */
+    static void use(Function<String, System.Logger> next) {
+        maker = next;
+    }
 
     @Override
     public System.Logger getLogger(String name, Module module) {
-        return new StderrLogger(name);
+        return maker.apply(name);
     }
 
     private record StderrLogger(String name) implements System.Logger {
--- a/src/main/java/loomreel/core/Dispatcher.java
+++ b/src/main/java/loomreel/core/Dispatcher.java
@@ -133,11 +133,14 @@
 
     /** Nothing more goes to a copy worker. */
     public void down(String worker) {
+        // The module first: what a source gives back must not be sent there again.
         tell(new Model.Down(worker));
+        sources.forEach(s -> s.down(worker, true));
     }
 
     /** A copy worker may serve again. */
     public void up(String worker) {
+        sources.forEach(s -> s.down(worker, false));
         tell(new Model.Up(worker));
     }
 
--- a/src/main/java/loomreel/core/WorkerSource.java
+++ b/src/main/java/loomreel/core/WorkerSource.java
@@ -17,6 +17,9 @@
     /** The module asks to be told what changes from now on. */
     default void watch() { }
 
+    /** Operators have taken one out of use, or given it back; nothing that lies for it goes there any more. */
+    default void down(String id, boolean isDown) { }
+
     /** What is to be done now and then. */
     default void everySecond() { }
 }
--- /dev/null
+++ b/src/main/java/loomreel/faktory/FaktoryWorkers.java
@@ -0,0 +1,309 @@
+package loomreel.faktory;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import loomreel.core.CallAttempt;
+import loomreel.core.Dispatcher;
+import loomreel.core.Subchannel;
+import loomreel.core.WorkerSource;
+import loomreel.decision.Model;
+import loomreel.decision.Model.Outcome;
+import loomreel.io.BoundedLog;
+import loomreel.io.EventLoop;
+import loomreel.settings.FaktorySettings;
+
+/** The copy workers that fetch their jobs. The module sends to one; its next FETCH takes what lies for it. */
+final class FaktoryWorkers implements WorkerSource {
+    /** A worker's jobs that wait, for each that it can run; more are turned away, as a full worker does. */
+    private static final int WAITING_PER_SLOT = 4;
+    /** Ids of workers that fetch begin so, and no others do. */
+    static final String PREFIX = "f:";
+    /** How long after its time a job keeps a slot of a worker that has not said a word of it. */
+    private static final long GRACE = 5_000_000;
+
+    /** Who hears of news that no attempt waits for any more. */
+    interface Late {
+        void late(String id, String what);
+    }
+
+    private final Dispatcher dispatcher;
+    private final EventLoop loop;
+    private final Payloads payloads;
+    private final List<Model.RequestClass> classes;
+    private final String site;
+    private final long beatWithin;
+    private final Membership membership;
+    private final Late listener;
+    private final BoundedLog log = new BoundedLog("loomreel.faktory.worker");
+    private final Map<String, FaktorySubchannel> subchannels = new HashMap<>();
+
+    FaktoryWorkers(Dispatcher dispatcher, FaktorySettings.Workers settings, Payloads payloads,
+            List<Model.RequestClass> classes, String site, Late listener) {
+        this.dispatcher = dispatcher;
+        this.loop = dispatcher.loop;
+        this.payloads = payloads;
+        this.classes = classes;
+        this.site = site;
+        this.listener = listener;
+        beatWithin = settings.beatWithin().micros();
+        membership = new Membership(new Membership.Limits(beatWithin, settings.slots(), settings.cold()));
+        look();
+    }
+
+    /** Looks for lapsed BEATs a few times within the time that one may be missing. */
+    private void look() {
+        for (Membership.Worker worker : membership.lapsed(loop.now())) {
+            log.warn("copy worker " + worker.wid + " has not beaten for " + beatWithin / 1_000_000 + " s: gone");
+            new ArrayList<>(worker.connections).forEach(c -> {
+                lost(worker, (FaktoryConnection) c);
+                ((FaktoryConnection) c).close();
+            });
+            unlist(worker);
+        }
+        loop.at(loop.now() + Math.max(10_000, Math.min(1_000_000, beatWithin / 4)), this::look);
+    }
+
+    Membership.Worker joined(Hello hello, FaktoryConnection connection) {
+        return membership.joined(hello, connection, loop.now());
+    }
+
+    /** Lists it with its first FETCH: before that nobody knows what it takes. */
+    private void list(Membership.Worker worker) {
+        FaktorySubchannel subchannel = new FaktorySubchannel(worker);
+        subchannels.put(subchannel.entry.id(), subchannel);
+        log.info("copy worker " + worker.wid + " has come: " + worker.slots + " slots, queues " + worker.queues);
+        dispatcher.listed(this, false, List.of(subchannel.entry));
+    }
+
+    private void unlist(Membership.Worker worker) {
+        FaktorySubchannel gone = subchannels.remove(PREFIX + worker.wid);
+        if (gone != null) {
+            // Told first: what is taken back must not be sent there again.
+            dispatcher.listed(this, false, List.of(gone.entry.gone()));
+            gone.takeBack();
+        }
+    }
+
+    /** It gets nothing new from now on. */
+    private void drain(Membership.Worker worker) {
+        FaktorySubchannel subchannel = subchannels.get(PREFIX + worker.wid);
+        if (subchannel != null) {
+            Model.Entry e = subchannel.entry;
+            subchannel.entry = new Model.Entry(e.id(), e.zone(), e.kind(), e.cell(), Model.State.DRAINING, e.startedAt(),
+                    e.weight());
+            dispatcher.listed(this, false, List.of(subchannel.entry));
+            subchannel.takeBack();
+        }
+        // A FETCH that waits would wait for nothing.
+        for (Object c : new ArrayList<>(worker.connections)) {
+            ((FaktoryConnection) c).answerFetch(null);
+        }
+    }
+
+    /** A FETCH: the job that lies for it, or null where none does; it may wait then. */
+    byte[] fetch(Membership.Worker worker, FaktoryConnection connection, List<String> queues) {
+        if (membership.fetches(worker, queues)) {
+            list(worker);
+        }
+        FaktorySubchannel subchannel = subchannels.get(PREFIX + worker.wid);
+        return subchannel == null || !worker.mayTake() ? null : subchannel.take(connection, queues);
+    }
+
+    /** What a connection has just fetched ends with this byte of all that is written there. */
+    void ends(Membership.Worker worker, FaktoryConnection connection, long at) {
+        FaktorySubchannel subchannel = subchannels.get(PREFIX + worker.wid);
+        if (subchannel != null) {
+            subchannel.handOver.ends(connection, at);
+        }
+    }
+
+    /** So many bytes have gone out on a connection. */
+    void written(Membership.Worker worker, FaktoryConnection connection, long bytes) {
+        FaktorySubchannel subchannel = subchannels.get(PREFIX + worker.wid);
+        if (subchannel != null) {
+            subchannel.handOver.written(connection, bytes).forEach(i -> {
+                i.what.written();
+                i.what.accepted();
+            });
+        }
+    }
+
+    /** The answer to a BEAT, or null for OK. */
+    String beat(Membership.Worker worker, String state) {
+        if (membership.beats(worker, state, loop.now())) {
+            log.info("copy worker " + worker.wid + " says " + state + ": nothing new goes there");
+            drain(worker);
+        }
+        return worker.order();
+    }
+
+    /** A connection is gone. What was fetched there and is out may run; other connections of the process go on. */
+    void left(Membership.Worker worker, FaktoryConnection connection) {
+        lost(worker, connection);
+        if (membership.left(worker, connection)) {
+            log.info("copy worker " + worker.wid + " has gone");
+            unlist(worker);
+        }
+    }
+
+    private void lost(Membership.Worker worker, FaktoryConnection connection) {
+        FaktorySubchannel subchannel = subchannels.get(PREFIX + worker.wid);
+        if (subchannel != null) {
+            for (HandOver.Item<CallAttempt> item : subchannel.handOver.lost(connection)) {
+                item.what.end(item.place() == HandOver.Place.OUT ? Outcome.RESET : Outcome.CONNECT_FAILED, null);
+            }
+        }
+    }
+
+    /** ACK: whether the worker has such a job. Late, doubled and foreign ones are noted, and change no answer. */
+    boolean acknowledged(Membership.Worker worker, String id, byte[] result) {
+        FaktorySubchannel subchannel = worker == null ? null : subchannels.get(PREFIX + worker.wid);
+        HandOver.Item<CallAttempt> item = subchannel == null ? null : subchannel.handOver.settle(id);
+        if (item == null || item.what.hasEnded()) {
+            listener.late(id, "ACK from " + (worker == null ? "nobody" : worker.wid));
+            return item != null;
+        }
+        item.what.served(result, subchannel.report());
+        return true;
+    }
+
+    /** FAIL: whether the worker has such a job. */
+    boolean failed(Membership.Worker worker, String id, String why) {
+        FaktorySubchannel subchannel = worker == null ? null : subchannels.get(PREFIX + worker.wid);
+        HandOver.Item<CallAttempt> item = subchannel == null ? null : subchannel.handOver.settle(id);
+        if (item == null || item.what.hasEnded()) {
+            listener.late(id, "FAIL from " + (worker == null ? "nobody" : worker.wid) + " (" + why + ")");
+            return item != null;
+        }
+        listener.late(id, worker.wid + " said FAIL: " + why);
+        item.what.end(Outcome.ERROR, subchannel.report());
+        return true;
+    }
+
+    /** A worker tells progress. */
+    void progressed(Membership.Worker worker, String id) {
+        FaktorySubchannel subchannel = worker == null ? null : subchannels.get(PREFIX + worker.wid);
+        HandOver.Item<CallAttempt> item = subchannel == null ? null : subchannel.handOver.running(id);
+        if (item != null) {
+            item.what.running();
+        }
+    }
+
+    @Override
+    public void down(String id, boolean isDown) {
+        if (id.startsWith(PREFIX)) {
+            Membership.Worker worker = membership.down(id.substring(PREFIX.length()), isDown);
+            FaktorySubchannel subchannel = subchannels.get(id);
+            if (worker != null && subchannel != null && isDown) {
+                subchannel.takeBack();
+            }
+        }
+    }
+
+    @Override
+    public Subchannel find(String id) {
+        return subchannels.get(id);
+    }
+
+    @Override
+    public int size() {
+        return subchannels.size();
+    }
+
+    @Override
+    public List<Model.Entry> entries() {
+        return subchannels.values().stream().map(s -> s.entry).toList();
+    }
+
+    @Override
+    public void everySecond() {
+        subchannels.values().forEach(s -> s.handOver.sweep(loop.now()));
+    }
+
+    /** One worker: a place where what is sent to it lies until it is fetched. */
+    private final class FaktorySubchannel implements Subchannel {
+        private final Membership.Worker worker;
+        private final HandOver<CallAttempt> handOver;
+        private Model.Entry entry;
+
+        FaktorySubchannel(Membership.Worker worker) {
+            this.worker = worker;
+            handOver = new HandOver<>(WAITING_PER_SLOT * worker.slots);
+            Map<String, String> labels = worker.hello.labels();
+            entry = new Model.Entry(PREFIX + worker.wid, labels.getOrDefault("site", site), labels.getOrDefault("kind", ""),
+                    -1, Model.State.READY, worker.startedAt, 1);
+        }
+
+        @Override
+        public Carrier post(CallAttempt attempt) {
+            String queue = payloads.queue(attempt.rpc, classes.get(attempt.rpc.requestClass).name());
+            HandOver.Item<CallAttempt> item = worker.mayTake() && worker.queues.contains(queue)
+                    ? handOver.offer(attempt.rpc.id, queue, attempt) : null;
+            if (item == null) {
+                attempt.end(Outcome.FULL, report());
+                return null;
+            }
+            EventLoop.Timer unfetched = loop.at(attempt.deadline, () -> {
+                if (handOver.takeBack(item)) {
+                    attempt.end(Outcome.CONNECT_FAILED, null);
+                } else if (item.place() == HandOver.Place.WRITING) {
+                    // Not all of it is out yet, and none of it shall be: the rest never follows.
+                    ((FaktoryConnection) item.connection()).close();
+                }
+            });
+            for (Object c : List.copyOf(worker.connections)) {
+                if (handOver.waiting() > 0) {
+                    ((FaktoryConnection) c).offer();
+                }
+            }
+            return () -> {
+                unfetched.cancel();
+                handOver.takeBack(item);
+            };
+        }
+
+        /** What a FETCH takes. */
+        byte[] take(FaktoryConnection connection, List<String> queues) {
+            HandOver.Item<CallAttempt> item = handOver.fetch(queues::contains, connection);
+            if (item == null) {
+                return null;
+            }
+            CallAttempt attempt = item.what;
+            long reserved = loop.now() + payloads.reserveFor(attempt.rpc);
+            if (reserved < attempt.deadline) {
+                loop.at(reserved, () -> {
+                    if (handOver.running(item.id) == item) {
+                        attempt.end(item.place() == HandOver.Place.OUT ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED, null);
+                    }
+                });
+            }
+            // It keeps its slot until the worker has had its time, whatever has become of the attempt by then.
+            item.until(Math.max(reserved, attempt.deadline) + GRACE);
+            return payloads.forWorker(attempt.rpc, classes.get(attempt.rpc.requestClass).name(), attempt.deadline - loop.now());
+        }
+
+        void takeBack() {
+            handOver.takeBackAll().forEach(i -> i.what.end(Outcome.FULL, report()));
+        }
+
+        /** Exact: the daemon counts itself. */
+        Model.Report report() {
+            int running = handOver.running();
+            int waiting = handOver.waiting();
+            return new Model.Report(waiting, running + waiting, Math.min(1, running / (double) worker.slots),
+                    Math.max(0, worker.slots - running - waiting));
+        }
+
+        @Override
+        public void probe() {
+            dispatcher.probed(entry.id(), Outcome.OK, loop.now(), report());
+        }
+
+        @Override
+        public String toString() {
+            return "copy worker " + entry.id();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/loomreel/faktory/Membership.java
@@ -0,0 +1,166 @@
+package loomreel.faktory;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Which Faktory copy workers there are and what they may be given. A worker is a process (wid) with one or more
+ * connections; it lives by BEAT. It is told times (microseconds) and reads none, and does no I/O.
+ */
+final class Membership {
+    /**
+     * What the settings say.
+     *
+     * @param beatWithin without a BEAT for so long it is gone
+     * @param slots where its labels do not say
+     * @param isCold whether one that has just come is cold
+     */
+    record Limits(long beatWithin, int slots, boolean isCold) { }
+
+    /** What becomes of one; nothing leads back from {@code LEAVING}: a process that was told to stop stops. */
+    enum Phase { JOINED, SERVING, LEAVING, GONE }
+
+    /** One process. */
+    static final class Worker {
+        final String wid;
+        final Hello hello;
+        final int slots;
+        /** 0 where it counts as warm. */
+        final long startedAt;
+        final Set<Object> connections = new LinkedHashSet<>();
+        /** The queues that it has fetched from, none before its first FETCH. */
+        final Set<String> queues = new HashSet<>();
+        private long beatAt;
+        private Phase phase = Phase.JOINED;
+        private boolean isDown;
+        /** What a BEAT is answered where operators want it to stop. */
+        private String order;
+
+        Worker(String wid, Hello hello, int slots, long startedAt, long now) {
+            this.wid = wid;
+            this.hello = hello;
+            this.slots = slots;
+            this.startedAt = startedAt;
+            beatAt = now;
+        }
+
+        Phase phase() {
+            return phase;
+        }
+
+        /** Whether anything new may be handed to it. */
+        boolean mayTake() {
+            return phase == Phase.SERVING && !isDown;
+        }
+
+        /** What the answer to its BEAT tells it to become, or null. */
+        String order() {
+            return order;
+        }
+    }
+
+    private final Limits limits;
+    private final Map<String, Worker> workers = new HashMap<>();
+    /** Those that operators have taken out of use, whether they are here or not. */
+    private final Set<String> down = new HashSet<>();
+
+    Membership(Limits limits) {
+        this.limits = limits;
+    }
+
+    /** A connection says HELLO for a process: one that is known, or one that is new. */
+    Worker joined(Hello hello, Object connection, long now) {
+        Worker worker = workers.computeIfAbsent(hello.wid(), wid -> {
+            Worker made = new Worker(wid, hello, hello.slots(limits.slots()), limits.isCold() ? now : 0, now);
+            made.isDown = down.contains(wid);
+            return made;
+        });
+        worker.connections.add(connection);
+        return worker;
+    }
+
+    /** It fetches; whether that makes it one that can be given jobs. */
+    boolean fetches(Worker worker, List<String> from) {
+        worker.queues.addAll(from);
+        if (worker.phase == Phase.JOINED) {
+            worker.phase = Phase.SERVING;
+            return true;
+        }
+        return false;
+    }
+
+    /**
+     * It lives.
+     *
+     * @param state what it says that it is: null, "quiet" or "terminate"
+     * @return whether that takes it out of service
+     */
+    boolean beats(Worker worker, String state, long now) {
+        worker.beatAt = now;
+        return ("quiet".equals(state) || "terminate".equals(state)) && leaves(worker);
+    }
+
+    /** It shall finish what it has; whether it was not leaving before. */
+    boolean leaves(Worker worker) {
+        if (worker.phase == Phase.LEAVING || worker.phase == Phase.GONE) {
+            return false;
+        }
+        worker.phase = Phase.LEAVING;
+        return true;
+    }
+
+    /** From now on BEATs are answered with this. */
+    void order(Worker worker, String order) {
+        worker.order = order;
+    }
+
+    /** A connection has gone; whether that was the process's last. */
+    boolean left(Worker worker, Object connection) {
+        worker.connections.remove(connection);
+        if (worker.connections.isEmpty() && worker.phase != Phase.GONE) {
+            gone(worker);
+            return true;
+        }
+        return false;
+    }
+
+    private void gone(Worker worker) {
+        worker.phase = Phase.GONE;
+        workers.remove(worker.wid, worker);
+    }
+
+    /** Those whose last BEAT is too long ago; they are gone now. */
+    List<Worker> lapsed(long now) {
+        List<Worker> lapsed = new ArrayList<>(workers.values().stream()
+                .filter(w -> now - w.beatAt >= limits.beatWithin()).toList());
+        lapsed.forEach(this::gone);
+        return lapsed;
+    }
+
+    /** Operators take one out of use, or give it back. */
+    Worker down(String wid, boolean isDown) {
+        if (isDown) {
+            down.add(wid);
+        } else {
+            down.remove(wid);
+        }
+        Worker worker = workers.get(wid);
+        if (worker != null) {
+            worker.isDown = isDown;
+        }
+        return worker;
+    }
+
+    Worker find(String wid) {
+        return workers.get(wid);
+    }
+
+    List<Worker> all() {
+        return List.copyOf(workers.values());
+    }
+}
--- a/src/main/java/loomreel/server/Server.java
+++ b/src/main/java/loomreel/server/Server.java
@@ -3,16 +3,22 @@
 import java.io.IOException;
 import java.net.StandardSocketOptions;
 import java.nio.channels.ServerSocketChannel;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
+import java.util.stream.Collectors;
 import loomreel.config.ConfigException;
 import loomreel.config.ServeConfig;
 import loomreel.core.Dispatcher;
+import loomreel.core.Front;
 import loomreel.decision.Model;
+import loomreel.faktory.FaktoryFront;
 import loomreel.io.BoundedLog;
 import loomreel.io.BufferPool;
 import loomreel.io.EventLoop;
 import loomreel.process.Lifecycle;
 import loomreel.process.Operations;
+import loomreel.settings.FaktorySettings;
 import loomreel.web.HttpFront;
 import loomreel.web.HttpWorkers;
 import loomreel.web.JobNews;
@@ -50,16 +56,24 @@
     private final Dispatcher dispatcher;
     private final HttpWorkers workers;
     private final HttpFront front;
+    /** Null where it is not set: its classes stay unloaded then. */
+    private final FaktoryFront faktory;
+    private final List<Front> fronts = new ArrayList<>(2);
     private final Lifecycle life;
+    /** Descriptors that HTTP cannot have. */
+    private final int forFaktory;
     private boolean started;
     private boolean closing;
+    /** After a stop was asked for: when all must have its answer. */
+    private long leaveBy = Long.MAX_VALUE;
 
     /**
-     * Opens the port.
+     * Opens the ports.
      *
-     * @throws IOException if it cannot be had
+     * @param faktorySettings null for none
+     * @throws IOException if one cannot be had
      */
-    public Server(ServeConfig config) throws IOException {
+    public Server(ServeConfig config, FaktorySettings faktorySettings) throws IOException {
         this.config = config;
         loop = new EventLoop(new BufferPool((int) (config.memory() / 16 / BufferPool.SIZE)));
         dispatcher = new Dispatcher(loop, config.settings(), config.seed(), config.answerSlack());
@@ -71,6 +85,14 @@
         life = new Lifecycle(dispatcher, config.directory() == null ? null
                 : config.directory().resolve(config.name().replaceAll("[^A-Za-z0-9_-]", "_")), config.inherited(), this);
         front = new HttpFront(dispatcher, config.settings(), listener, this);
+        fronts.add(front);
+        faktory = faktorySettings == null ? null
+                : new FaktoryFront(dispatcher, faktorySettings, config.settings(), config.seed());
+        if (faktory != null) {
+            fronts.add(faktory);
+            dispatcher.add(faktory.workers());
+        }
+        forFaktory = faktorySettings == null ? 0 : faktorySettings.connections();
         shared(life.isTied());
         log.info(config.name() + " listens on " + listener.getLocalAddress() + ", " + config.known().entries().size()
                 + " copy workers known");
@@ -96,11 +118,15 @@
     /** Two processes are one dispatcher to the platform: what it grants is shared evenly while both run. */
     @Override
     public void shared(boolean tied) {
-        int granted = config.sockets() / (tied ? 2 : 1);
+        int granted = (config.sockets() - forFaktory) / (tied ? 2 : 1);
         int sockets = Math.max(16, granted - OTHER_DESCRIPTORS);
         int calls = (int) (sockets * CALLS);
         workers.room(calls);
-        dispatcher.room((int) ((sockets - calls) * JOBS));
+        int jobs = (int) ((sockets - calls) * JOBS);
+        dispatcher.room(jobs);
+        if (faktory != null) {
+            faktory.room(jobs);
+        }
         front.room(sockets - calls, granted);
     }
 
@@ -183,7 +209,12 @@
         started = true;
         logFigures();
         loop.run();
-        log.info("empty, leaving; " + dispatcher.summary() + "; " + front.summary());
+        fronts.forEach(Front::end);
+        log.info("empty, leaving; " + dispatcher.summary() + "; " + summary());
+    }
+
+    private String summary() {
+        return fronts.stream().map(Front::summary).collect(Collectors.joining("; "));
     }
 
     /**
@@ -200,11 +231,16 @@
                 front.stopAccepting();
                 life.leave();
             }
+            if (faktory != null) {
+                // Its clients have no other dispatcher to be sent to by the time that connections close.
+                faktory.leave();
+            }
             long longest = config.settings().classes().stream().mapToLong(Model.RequestClass::deadline).max().orElse(0);
-            dispatcher.leaveBy(loop.now() + Math.min(LONGEST, longest) + KILLED_AFTER - LAST_ANSWERS);
+            leaveBy = loop.now() + Math.min(LONGEST, longest) + KILLED_AFTER - LAST_ANSWERS;
+            dispatcher.leaveBy(leaveBy);
             loop.at(loop.now() + Math.min(replaced ? KEEP_IDLE : STAY, longest), () -> {
                 closing = true;
-                front.closeIdle(true);
+                front.leave();
                 leaveWhenEmpty();
             });
         });
@@ -218,28 +254,50 @@
      */
     public void reload(Map<String, String> env) {
         loop.post(() -> {
-            ServeConfig next;
             try {
-                next = ServeConfig.reread(env);
+                ServeConfig next = ServeConfig.reread(env);
+                take(next, next.restartsAs(config));
             } catch (ConfigException e) {
-                dispatcher.figures.reconfigured(false);
-                log.warn("the new configuration is no good, the old one stays: " + e.getMessage());
-                return;
+                refuse(e.getMessage());
             }
-            dispatcher.figures.reconfigured(true);
-            log.info("configuration read again: discovery at " + next.discovery()
-                    + (next.restartsAs(config) ? "" : "; the other changes wait for the next start"));
-            workers.moveDiscovery(next.discovery());
         });
     }
 
+    /**
+     * Takes over what can be taken over of a configuration that has been read again. Any thread may call this.
+     *
+     * @param same whether nothing else has changed
+     */
+    public void reloaded(ServeConfig next, boolean same) {
+        loop.post(() -> take(next, same));
+    }
+
+    /** A configuration that was read again is no good. Any thread may call this. */
+    public void notReloaded(String why) {
+        loop.post(() -> refuse(why));
+    }
+
+    private void take(ServeConfig next, boolean same) {
+        dispatcher.figures.reconfigured(true);
+        log.info("configuration read again: discovery at " + next.discovery()
+                + (same ? "" : "; the other changes wait for the next start"));
+        if (next.discovery() != null) {
+            workers.moveDiscovery(next.discovery());
+        }
+    }
+
+    private void refuse(String why) {
+        dispatcher.figures.reconfigured(false);
+        log.warn("the new configuration is no good, the old one stays: " + why);
+    }
+
     private void logFigures() {
-        log.info(front.summary());
+        log.info(summary());
         loop.at(loop.now() + Dispatcher.FIGURES_EVERY, this::logFigures);
     }
 
     private void leaveWhenEmpty() {
-        if (dispatcher.isEmpty() && !front.owes()) {
+        if (dispatcher.isEmpty() && !front.owes() && (faktory == null || !faktory.owes() || loop.now() >= leaveBy)) {
             loop.stop();
         } else {
             loop.at(loop.now() + LOOK_EVERY, this::leaveWhenEmpty);
--- a/src/main/java/loomreel/settings/FaktorySettings.java
+++ b/src/main/java/loomreel/settings/FaktorySettings.java
@@ -6,7 +6,7 @@
 /** Faktory's section of a file; {@code installation.cue} says what each field means. What is absent is null. */
 public record FaktorySettings(InetSocketAddress listen, String password, int iterations, Workers workers,
         Map<String, Queue> queues, Map<String, JobType> jobTypes, double share, Backlog backlog, int connections,
-        Size command, int retry, Micros backoff, Micros remember, int rememberMost, boolean mayMutate) {
+        Size command, int retry, Micros backoff, Micros remember, int rememberMost, boolean mayMutate, String spool) {
     /** How Faktory copy workers may come. */
     public record Workers(boolean allowed, Micros beatWithin, Micros fetchWait, int slots, boolean cold) { }
 
--- a/src/main/java/loomreel/settings/Installation.java
+++ b/src/main/java/loomreel/settings/Installation.java
@@ -34,7 +34,7 @@
             Micros maxHoldOff, Size memory, int descriptors) { }
 
     /** The figures of the rules. */
-    public record Rules(Micros stopSendingWithin, double coldFrom, Micros coldFor, double tipMultiple,
+    public record Rules(Micros stopSendingWithin, Micros askWithin, double coldFrom, Micros coldFor, double tipMultiple,
             Micros fallWithin) { }
 
     /** Where load reports travel. */
--- a/src/main/java/loomreel/settings/InstallationFile.java
+++ b/src/main/java/loomreel/settings/InstallationFile.java
@@ -113,6 +113,10 @@
         if (i.discovery() == null && i.workers().isEmpty() && (i.faktory() == null || !i.faktory().workers().allowed())) {
             problem(tree, "", "no copy workers: neither discovery, nor workers, nor Faktory copy workers", problems);
         }
+        if (i.faktory() != null && i.faktory().connections() + 128 > i.limits().descriptors()) {
+            problem(tree, "faktory.connections", "must leave 128 of limits.descriptors (" + i.limits().descriptors()
+                    + ") to HTTP", problems);
+        }
         if (i.rules().stopSendingWithin().micros() > 3_000_000) {
             problem(tree, "rules.stop_sending_within", "nothing new may go to a leaving copy worker after 3s", problems);
         }
--- a/src/main/java/loomreel/web/HttpFront.java
+++ b/src/main/java/loomreel/web/HttpFront.java
@@ -12,13 +12,14 @@
 import java.util.Map;
 import java.util.Set;
 import loomreel.core.Dispatcher;
+import loomreel.core.Front;
 import loomreel.core.UnavailableStatus;
 import loomreel.decision.Model;
 import loomreel.io.BoundedLog;
 import loomreel.io.EventLoop;
 
 /** Accepts the connections of clients and of copy workers with news, and keeps room for those that bring something. */
-public final class HttpFront implements EventLoop.Handler {
+public final class HttpFront implements EventLoop.Handler, Front {
     /** What the life of the process means for those who come. */
     public interface Gate {
         /** Whether clients should come here. */
@@ -115,12 +116,18 @@
         new ArrayList<>(idle).stream().filter(c -> newsToo || !c.bringsNews()).forEach(ClientConnection::close);
     }
 
-    /** Whether an answer is still owed or under way. */
+    /** What is idle ends; each answer from now on is the last one on its connection. */
+    @Override
+    public void leave() {
+        closeIdle(true);
+    }
+
+    @Override
     public boolean owes() {
         return clients.stream().anyMatch(ClientConnection::owes);
     }
 
-    /** What has come of all connections so far. */
+    @Override
     public String summary() {
         return "connections " + clients.size() + ", of no use so far " + strangers.size() + ", idle " + idle.size()
                 + "; in all: accepted " + accepted + ", closed for room: of no use " + strangersClosed + ", idle "
--- a/src/main/resources/loomreel/settings/installation.cue
+++ b/src/main/resources/loomreel/settings/installation.cue
@@ -96,6 +96,8 @@
 #Rules: {
 	// Nothing new goes to a copy worker so long after it was told to be leaving.
 	stop_sending_within: #Duration | *"3s"
+	// How long discovery may go unasked.
+	ask_within: #Duration | *"10s"
 	// A copy worker starts at this share of what it can do, and is warm after that time.
 	cold_from: number & >0 & <=1 | *0.14
 	cold_for:  #Duration | *"24s"
@@ -131,7 +133,7 @@
 		jobs:  int & >=1 & <=10000000 | *100000
 		bytes: #Size | *"128MiB"
 	}
-	connections: int & >=1 & <=100000 | *1000
+	connections: int & >=1 & <=100000 | *256
 	// The longest command; a PUSHB is one.
 	command: #Size | *"4MiB"
 	// How often a job is tried again where it does not say.
@@ -143,6 +145,8 @@
 	remember_most: int & >=1 & <=10000000 | *100000
 	// Whether clients may FLUSH and MUTATE.
 	may_mutate: bool | *false
+	// The file in which a process that is asked to stop leaves the jobs that wait, for the next one.
+	spool?: string
 }
 
 #FaktoryWorkers: {
