--- a/src/main/java/loomreel/faktory/FaktoryConnection.java
+++ b/src/main/java/loomreel/faktory/FaktoryConnection.java
@@ -27,7 +27,7 @@
     /** What may come behind a command that is not answered yet. */
     private static final int AHEAD_MOST = 64 * 1024;
     /** Jobs of a batch that are taken in one turn of the loop: HTTP's clients wait no longer than these take. */
-    private static final int BATCH_AT_ONCE = 32;
+    private static final int BATCH_AT_ONCE = 8;
     private static final int ERROR_MOST = 256;
 
     /** Reads one value and leaves what follows. */
--- a/src/main/java/loomreel/faktory/JobBook.java
+++ b/src/main/java/loomreel/faktory/JobBook.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -126,7 +127,9 @@
 
     private void end(Job job, long now) {
         live.remove(job.spec.jid());
-        mortal.remove(job);
+        if (job.spec.deadline() < Long.MAX_VALUE) {
+            mortal.remove(job);
+        }
         bytes -= job.size();
         ends[job.state.ordinal()]++;
         // A job that asks for no retries is not kept either, as Faktory has it.
@@ -319,9 +322,24 @@
         return true;
     }
 
-    /** Drops all that is not active; each has its end as cancelled. */
+    /** Drops all that is not active; each has its end as cancelled. At once, since a backlog may be very long. */
     void flush(long now) {
-        new ArrayList<>(live.values()).forEach(j -> discard(j, now));
+        List<Job> dropped = live.values().stream().filter(j -> j.state != State.ACTIVE).toList();
+        scheduled.clear();
+        retries.clear();
+        ready.clear();
+        // All at once where it is nearly all: one by one, each would be looked for in its order.
+        if (dropped.size() == live.size()) {
+            mortal.clear();
+        } else {
+            mortal.removeAll(new HashSet<>(dropped));
+        }
+        for (Job job : dropped) {
+            job.state = State.CANCELLED;
+            job.reason = "discarded";
+            job.updatedAt = now;
+            end(job, now);
+        }
         new ArrayList<>(dead.values()).forEach(j -> discard(j, now));
     }
 
--- a/src/main/java/loomreel/standin/HttpWorker.java
+++ b/src/main/java/loomreel/standin/HttpWorker.java
@@ -20,6 +20,11 @@
 
 /** A copy worker that is called over HTTP and calls back: takes what it has room for, runs it, tells what became of it. */
 public final class HttpWorker implements AutoCloseable {
+    static {
+        // Without it the JDK's server holds each small answer back for 40 ms.
+        System.setProperty("sun.net.httpserver.nodelay", "true");
+    }
+
     private static final int WAITING_PER_SLOT = 4;
     private static final int NEWS_TRIES = 10;
     private static final int PATIENCE_MS = 2000;
