--- a/src/main/java/loomreel/cli/Check.java
+++ b/src/main/java/loomreel/cli/Check.java
@@ -2,9 +2,6 @@
 
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
-import loomreel.settings.Installation;
-import loomreel.settings.InstallationFile;
-import loomreel.settings.cue.CueException;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Parameters;
 
@@ -16,15 +13,6 @@
 
     @Override
     public Integer call() {
-        try {
-            Installation i = InstallationFile.read(file);
-            System.out.println(i.name() + ": listen " + i.listen().http() + ", " + i.classes().size() + " classes, "
-                    + (i.discovery() != null ? "discovery " + i.discovery() : i.workers().size() + " copy workers")
-                    + (i.faktory() == null ? "" : ", Faktory at " + i.faktory().listen()));
-            return 0;
-        } catch (CueException e) {
-            e.problems().forEach(System.err::println);
-            return 2;
-        }
+        return Installations.check(file);
     }
 }
--- a/src/main/java/loomreel/cli/Daemon.java
+++ b/src/main/java/loomreel/cli/Daemon.java
@@ -1,12 +1,7 @@
 package loomreel.cli;
 
 import java.nio.file.Path;
-import java.security.SecureRandom;
 import java.util.concurrent.Callable;
-import loomreel.server.DaemonConfig;
-import loomreel.settings.Installation;
-import loomreel.settings.InstallationFile;
-import loomreel.settings.cue.CueException;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Parameters;
 
@@ -19,22 +14,6 @@
 
     @Override
     public Integer call() {
-        // Before the first logger is made.
-        SystemLoggers.use(JsonLines::logger);
-        Installation installation;
-        try {
-            installation = InstallationFile.read(file);
-        } catch (CueException e) {
-            e.problems().forEach(System.err::println);
-            return 2;
-        }
-        return Running.run(DaemonConfig.of(installation, new SecureRandom().nextLong()), installation.faktory(), server -> {
-            try {
-                Installation next = InstallationFile.read(file);
-                server.reloaded(DaemonConfig.of(next, 0), next.equals(installation));
-            } catch (CueException e) {
-                server.notReloaded(e.getMessage());
-            }
-        });
+        return Installations.daemon(file);
     }
 }
--- a/src/main/java/loomreel/cli/Demo.java
+++ b/src/main/java/loomreel/cli/Demo.java
@@ -14,6 +14,6 @@
 
     @Override
     public Integer call() throws IOException, InterruptedException {
-        return Mixed.show(new MixedRun(new MixedRun.Plan(1, JOBS, SECONDS, false)).run(System.out));
+        return new MixedRun(new MixedRun.Plan(1, JOBS, SECONDS, false)).run(System.out).show(System.out);
     }
 }
--- a/src/main/java/loomreel/cli/Mixed.java
+++ b/src/main/java/loomreel/cli/Mixed.java
@@ -1,7 +1,6 @@
 package loomreel.cli;
 
 import java.io.IOException;
-import java.util.Map;
 import java.util.concurrent.Callable;
 import loomreel.standin.MixedRun;
 import picocli.CommandLine.Command;
@@ -23,24 +22,6 @@
     @Override
     public Integer call() throws IOException, InterruptedException {
         System.out.println("seed " + seed);
-        return show(new MixedRun(new MixedRun.Plan(seed, jobs, seconds, true)).run(System.out));
-    }
-
-    /** Prints what came of it; the exit code. */
-    static int show(MixedRun.Result result) {
-        table("jobs by client, class and end", result.ends());
-        table("served by", result.servedBy());
-        if (!result.troubles().isEmpty()) {
-            table("troubles", result.troubles());
-        }
-        result.broken().stream().limit(20).forEach(b -> System.out.println("BROKEN " + b));
-        System.out.println(result.broken().isEmpty() ? "all that must hold held: each job has one end, no issue ran twice"
-                : result.broken().size() + " things are broken");
-        return result.broken().isEmpty() ? 0 : 1;
-    }
-
-    private static void table(String title, Map<String, Integer> rows) {
-        System.out.println(title);
-        rows.forEach((name, count) -> System.out.printf("  %-36s %7d%n", name, count));
+        return new MixedRun(new MixedRun.Plan(seed, jobs, seconds, true)).run(System.out).show(System.out);
     }
 }
--- a/src/main/java/loomreel/standin/MixedRun.java
+++ b/src/main/java/loomreel/standin/MixedRun.java
@@ -47,7 +47,25 @@
      * @param broken what must not be; empty where all held
      */
     public record Result(Map<String, Integer> ends, Map<String, Integer> troubles, Map<String, Integer> servedBy,
-            List<String> broken) { }
+            List<String> broken) {
+        /** Prints what came of it; the exit code. */
+        public int show(PrintStream out) {
+            table(out, "jobs by client, class and end", ends);
+            table(out, "served by", servedBy);
+            if (!troubles.isEmpty()) {
+                table(out, "troubles", troubles);
+            }
+            broken.stream().limit(20).forEach(b -> out.println("BROKEN " + b));
+            out.println(broken.isEmpty() ? "all that must hold held: each job has one end, no issue ran twice"
+                    : broken.size() + " things are broken");
+            return broken.isEmpty() ? 0 : 1;
+        }
+
+        private static void table(PrintStream out, String title, Map<String, Integer> rows) {
+            out.println(title);
+            rows.forEach((name, count) -> out.printf("  %-36s %7d%n", name, count));
+        }
+    }
 
     private static final int WORKERS = 3;
     private static final int CLIENTS = 4;
--- a/src/test/java/loomreel/arch/ArrowsTest.java
+++ b/src/test/java/loomreel/arch/ArrowsTest.java
@@ -33,6 +33,9 @@
     @ArchTest
     static final ArchRule WEB = knowsOnly("web", "http", "io", "core", "config", "decision");
 
+    @ArchTest
+    static final ArchRule FAKTORY = knowsOnly("faktory", "io", "core", "decision", "settings");
+
     @ArchTest
     static final ArchRule PROCESS = knowsOnly("process", "http", "io", "core", "decision");
 
