--- a/src/main/java/loomreel/faktory/FaktoryConnection.java
+++ b/src/main/java/loomreel/faktory/FaktoryConnection.java
@@ -305,12 +305,8 @@
             return;
         }
         JsonNode state = beat.path("current_state");
-        String order = front.workers.beat(worker, state.isTextual() ? state.asText() : null);
-        if (order == null) {
-            answer(null);
-        } else {
-            bulk(json(Payloads.JSON.createObjectNode().put("state", order)));
-        }
+        front.workers.beat(worker, state.isTextual() ? state.asText() : null);
+        answer(null);
     }
 
     private void track(String rest) throws Payloads.BadPayloadException {
--- a/src/main/java/loomreel/faktory/FaktoryWorkers.java
+++ b/src/main/java/loomreel/faktory/FaktoryWorkers.java
@@ -130,13 +130,12 @@
         }
     }
 
-    /** The answer to a BEAT, or null for OK. */
-    String beat(Membership.Worker worker, String state) {
+    /** A BEAT; {@code state} is what the worker says that it is, or null. */
+    void beat(Membership.Worker worker, String state) {
         if (membership.beats(worker, state, loop.now())) {
             log.info("copy worker " + worker.wid + " says " + state + ": nothing new goes there");
             drain(worker);
         }
-        return worker.order();
     }
 
     /** A connection is gone. What was fetched there and is out may run; other connections of the process go on. */
--- a/src/main/java/loomreel/faktory/Membership.java
+++ b/src/main/java/loomreel/faktory/Membership.java
@@ -38,8 +38,6 @@
         private long beatAt;
         private Phase phase = Phase.JOINED;
         private boolean isDown;
-        /** What a BEAT is answered where operators want it to stop. */
-        private String order;
 
         Worker(String wid, Hello hello, int slots, long startedAt, long now) {
             this.wid = wid;
@@ -57,11 +55,6 @@
         boolean mayTake() {
             return phase == Phase.SERVING && !isDown;
         }
-
-        /** What the answer to its BEAT tells it to become, or null. */
-        String order() {
-            return order;
-        }
     }
 
     private final Limits limits;
@@ -114,11 +107,6 @@
         return true;
     }
 
-    /** From now on BEATs are answered with this. */
-    void order(Worker worker, String order) {
-        worker.order = order;
-    }
-
     /** A connection has gone; whether that was the process's last. */
     boolean left(Worker worker, Object connection) {
         worker.connections.remove(connection);
@@ -159,8 +147,4 @@
     Worker find(String wid) {
         return workers.get(wid);
     }
-
-    List<Worker> all() {
-        return List.copyOf(workers.values());
-    }
 }
