Drop two pieces of the settings reader that nothing calls

Seen on reading the change again: Evaluator.scope and Cue.definitions have no caller. CueTest, UnificationTest, InstallationFileTest and ArrowsTest pass; not on the path of serve.

--- a/src/main/java/loomreel/settings/cue/Cue.java
+++ b/src/main/java/loomreel/settings/cue/Cue.java
@@ -3,8 +3,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Set;
-import java.util.TreeSet;
 
 /** Files of settings: a schema, and files that unify with one of its definitions. */
 public final class Cue {
@@ -104,13 +102,6 @@
         }
     }
 
-    /** The names of the schema's definitions. */
-    public Set<String> definitions() {
-        Set<String> names = new TreeSet<>();
-        schema.fields().stream().filter(f -> f.name() != null && f.name().startsWith("#")).forEach(f -> names.add(f.name()));
-        return names;
-    }
-
     /**
      * A schema that ships beside a class.
      *
--- a/src/main/java/loomreel/settings/cue/Evaluator.java
+++ b/src/main/java/loomreel/settings/cue/Evaluator.java
@@ -48,11 +48,6 @@
         return evaluate(List.of(new Conjunct(file, parent, List.of(), 0))).get(0).vertex();
     }
 
-    /** The scope of a file that has been evaluated. */
-    static Scope scope(Scope parent, Expr.Struct file, Vertex vertex) {
-        return new Scope(parent, file, vertex);
-    }
-
     /** Every value that the conjuncts allow together; one where they hold no disjunction. */
     List<Choice> evaluate(List<Conjunct> conjuncts) {
         step();
