--- a/src/main/java/loomreel/process/Lifecycle.java
+++ b/src/main/java/loomreel/process/Lifecycle.java
@@ -67,10 +67,10 @@
         clientsGone = state.drained();
     }
 
-    /** Without a tie, as where the path is too long for a socket, it serves all the same, and a successor is no help. */
+    /** Without a tie, as where no loopback port can be had, it serves all the same, and a successor is no help. */
     private Sibling tie(Path files) {
         try {
-            return new Sibling(loop, files.resolveSibling(files.getFileName() + ".sock"), this);
+            return new Sibling(loop, files.resolveSibling(files.getFileName() + ".tie"), this);
         } catch (IOException e) {
             log.warn("no tie to another process, an upgrade will lose call-backs: " + e.getMessage());
             return null;
--- a/src/main/java/loomreel/process/Sibling.java
+++ b/src/main/java/loomreel/process/Sibling.java
@@ -1,14 +1,15 @@
 package loomreel.process;
 
 import java.io.IOException;
-import java.net.StandardProtocolFamily;
-import java.net.UnixDomainSocketAddress;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
@@ -25,6 +26,10 @@
  * The tie to the other process of this dispatcher, while a new one takes over from an old one: both accept at the
  * address that clients and copy workers know, so each hears what is meant for the other. It is one connection inside
  * the machine that carries HTTP requests both ways, since each side asks as well as answers.
+ *
+ * <p>The connection is TCP over IPv4 loopback, and the newest process writes its port to a file in {@code $TMPDIR}
+ * where the next one finds it. A Unix socket would be simpler, but the full fleet's platform serves only TCP and UDP
+ * over IPv4 (STANDING, "The bench's clock"), and a tie of another kind would be a refused call there.
  */
 final class Sibling implements EventLoop.Handler {
     /** Who hears what the other process has to say. */
@@ -51,28 +56,44 @@
     /**
      * Ties this process to one that is running, if there is one, and waits for one that comes later.
      *
-     * @param path where the newest process of this dispatcher can be met
-     * @throws IOException if that place cannot be had
+     * @param path the file, in a directory of this dispatcher's own, that holds the port where the newest process of
+     *     this dispatcher can be met
+     * @throws IOException if no port can be had or the file cannot be written
      */
     Sibling(EventLoop loop, Path path, Listener listener) throws IOException {
         this.loop = loop;
         this.listener = listener;
-        UnixDomainSocketAddress address = UnixDomainSocketAddress.of(path);
-        channel = ServerSocketChannel.open(StandardProtocolFamily.UNIX);
-        if (Files.exists(path)) {
+        InetAddress loopback = InetAddress.getByAddress(new byte[] {127, 0, 0, 1});
+        Integer before = portIn(path);
+        if (before != null) {
             try {
-                links.add(new Link(SocketChannel.open(address), false));
+                links.add(new Link(SocketChannel.open(new InetSocketAddress(loopback, before)), false));
                 log.info("tied to the process that is to be replaced");
             } catch (IOException e) {
                 log.info("nobody is left at " + path.getFileName());
             }
-            Files.deleteIfExists(path);
         }
-        channel.bind(address);
+        channel = ServerSocketChannel.open();
+        channel.bind(new InetSocketAddress(loopback, 0), 4);
+        int port = ((InetSocketAddress) channel.getLocalAddress()).getPort();
+        // Written whole, then moved: a process that starts meanwhile reads the old port or the new, never half of one.
+        Path next = path.resolveSibling(path.getFileName() + ".next");
+        Files.writeString(next, Integer.toString(port));
+        Files.move(next, path, StandardCopyOption.REPLACE_EXISTING, StandardCopyOption.ATOMIC_MOVE);
         channel.configureBlocking(false);
         channel.register(loop.selector, SelectionKey.OP_ACCEPT, this);
     }
 
+    /** The port written at {@code path}, or null where there is no such file or it holds no port. */
+    private Integer portIn(Path path) {
+        try {
+            int port = Integer.parseInt(Files.readString(path).trim());
+            return port > 0 && port < 65536 ? port : null;
+        } catch (NumberFormatException | IOException e) {
+            return null;
+        }
+    }
+
     boolean isTied() {
         return !links.isEmpty();
     }
--- a/src/test/java/loomreel/program/RealProgram.java
+++ b/src/test/java/loomreel/program/RealProgram.java
@@ -51,8 +51,26 @@
         return new RealProgram(workerCount, false, c -> c.replace("{\"name\"", "{\"mgmt\":\"127.0.0.1:0\",\"name\""), platform);
     }
 
+    /** One started as the platform starts it: descriptor 0, operators, and the JVM's flags of {@code run}. */
+    static RealProgram deployed(int workerCount) throws IOException {
+        return new RealProgram(workerCount, false, c -> c.replace("{\"name\"", "{\"mgmt\":\"127.0.0.1:0\",\"name\""), true,
+                runFlags());
+    }
+
+    /** The JVM's flags in {@code run} of {@code deploy/balancer.toml}: what stands between {@code java} and {@code -jar}. */
+    static List<String> runFlags() throws IOException {
+        Matcher run = Pattern.compile("(?m)^run = \"exec java (.*?) -jar ").matcher(Files.readString(Path.of("deploy", "balancer.toml")));
+        assertTrue(run.find(), "run starts java by exec");
+        return List.of(run.group(1).split(" +"));
+    }
+
     private RealProgram(int workerCount, boolean probing, UnaryOperator<String> change, boolean platform)
             throws IOException {
+        this(workerCount, probing, change, platform, List.of("-XX:TieredStopAtLevel=1"));
+    }
+
+    private RealProgram(int workerCount, boolean probing, UnaryOperator<String> change, boolean platform,
+            List<String> flags) throws IOException {
         for (int i = 0; i < workerCount; i++) {
             workers.add(new Http.Peer());
         }
@@ -60,12 +78,14 @@
                 + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},"
                 + "\"known\":" + list(41, true, "SERVING") + ",\"settings\":"
                 + String.format(SETTINGS, probing, probing ? "probe" : "none") + "}"));
-        ProcessBuilder builder = builder(file, "serve", discovery.address());
+        ProcessBuilder builder = builder(file, "serve", discovery.address(), flags);
         builder.environment().put("TMPDIR", directory.toString());
         if (platform) {
             builder.environment().put("BALANCER_LISTEN_FD", "0");
-            builder.command().addAll(builder.command().indexOf("loomreel.cli.Main"),
-                    List.of(Platform.class.getName(), builder.command().get(0), "-cp", System.getProperty("java.class.path")));
+            List<String> child = new ArrayList<>(List.of(Platform.class.getName(), builder.command().get(0)));
+            child.addAll(flags);
+            child.addAll(List.of("-cp", System.getProperty("java.class.path")));
+            builder.command().addAll(builder.command().indexOf("loomreel.cli.Main"), child);
         }
         process = builder.start();
         log = process.errorReader();
@@ -135,8 +155,14 @@
     }
 
     static ProcessBuilder builder(Path config, String command, String discovery) {
-        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), "loomreel.cli.Main", command);
+        return builder(config, command, discovery, List.of("-XX:TieredStopAtLevel=1"));
+    }
+
+    static ProcessBuilder builder(Path config, String command, String discovery, List<String> flags) {
+        List<String> line = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString()));
+        line.addAll(flags);
+        line.addAll(List.of("-cp", System.getProperty("java.class.path"), "loomreel.cli.Main", command));
+        ProcessBuilder builder = new ProcessBuilder(line);
         builder.environment().keySet().removeIf(name -> name.startsWith("BALANCER_"));
         builder.environment().put("BALANCER_CONFIG", config.toString());
         builder.environment().put("BALANCER_DISCOVERY", discovery);
