Share the tests' JVM flags, the operators' address and the /proc reader

Change: constants FLAGS and WITH_OPERATORS; one inodes reader with a test on the row; Sibling.portIn is static, as it reads no field. Behaviour and assertions are as they were.

--- a/src/main/java/loomreel/process/Sibling.java
+++ b/src/main/java/loomreel/process/Sibling.java
@@ -85,7 +85,7 @@
     }
 
     /** The port written at {@code path}, or null where there is no such file or it holds no port. */
-    private Integer portIn(Path path) {
+    private static Integer portIn(Path path) {
         try {
             int port = Integer.parseInt(Files.readString(path).trim());
             return port > 0 && port < 65536 ? port : null;
--- a/src/test/java/loomreel/program/DeployedTest.java
+++ b/src/test/java/loomreel/program/DeployedTest.java
@@ -6,9 +6,11 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import java.util.stream.Stream;
@@ -34,7 +36,7 @@
             program.upgrade();
             assertEquals(2, program.started.size());
             // The descriptors first and the tables after: a socket opened between the two readings is still listed.
-            List<Set<String>> held = new java.util.ArrayList<>();
+            List<Set<String>> held = new ArrayList<>();
             for (ProcessHandle process : program.started) {
                 held.add(sockets(process.pid()));
                 assertEquals(0, process.children().count(), "no other program is started");
@@ -62,25 +64,21 @@
 
     /** The inodes in column {@code column} of a table of {@code /proc/net}, whose first line names the columns. */
     private static Set<String> inodes(String table, int column) throws IOException {
-        Set<String> inodes = new HashSet<>();
-        List<String> lines = Files.exists(Path.of(table)) ? Files.readAllLines(Path.of(table)) : List.of();
-        for (String line : lines.subList(Math.min(1, lines.size()), lines.size())) {
-            String[] fields = line.trim().split(" +");
-            if (fields.length > column) {
-                inodes.add(fields[column]);
-            }
-        }
-        return inodes;
+        return inodes(table, column, fields -> fields.length > column);
     }
 
     /** The inodes of Unix sockets without a path: column 7 of {@code /proc/net/unix} is missing. */
     private static Set<String> unnamedUnix() throws IOException {
+        return inodes("/proc/net/unix", 6, fields -> fields.length == 7);
+    }
+
+    private static Set<String> inodes(String table, int column, Predicate<String[]> rows) throws IOException {
         Set<String> inodes = new HashSet<>();
-        List<String> lines = Files.readAllLines(Path.of("/proc/net/unix"));
-        for (String line : lines.subList(1, lines.size())) {
+        List<String> lines = Files.exists(Path.of(table)) ? Files.readAllLines(Path.of(table)) : List.of();
+        for (String line : lines.subList(Math.min(1, lines.size()), lines.size())) {
             String[] fields = line.trim().split(" +");
-            if (fields.length == 7) {
-                inodes.add(fields[6]);
+            if (rows.test(fields)) {
+                inodes.add(fields[column]);
             }
         }
         return inodes;
--- a/src/test/java/loomreel/program/RealProgram.java
+++ b/src/test/java/loomreel/program/RealProgram.java
@@ -25,6 +25,11 @@
               "MaxRetryAfterS":1.5,"ConnectTimeoutS":5,"ConnIdleS":60},"Telemetry":{"How":"%s"},
              "Invariants":{"StopSendingWithinS":3,"AskWithinS":0.5,"ColdFrom":0.2,"ColdS":20,"TipMultiple":3,
               "FallS":2,"AnswerSlackS":0.016}}""";
+    /** The JVM's flags of the tests' own processes: they start quicker so. */
+    private static final List<String> FLAGS = List.of("-XX:TieredStopAtLevel=1");
+    /** Gives a configuration an address for operators. */
+    private static final UnaryOperator<String> WITH_OPERATORS =
+            c -> c.replace("{\"name\"", "{\"mgmt\":\"127.0.0.1:0\",\"name\"");
     private static int ids;
 
     Http.Peer discovery = new Http.Peer();
@@ -48,13 +53,12 @@
 
     /** One that operators look after; where the platform holds the listener, it can be started beside itself. */
     static RealProgram operated(int workerCount, boolean platform) throws IOException {
-        return new RealProgram(workerCount, false, c -> c.replace("{\"name\"", "{\"mgmt\":\"127.0.0.1:0\",\"name\""), platform);
+        return new RealProgram(workerCount, false, WITH_OPERATORS, platform);
     }
 
     /** One started as the platform starts it: descriptor 0, operators, and the JVM's flags of {@code run}. */
     static RealProgram deployed(int workerCount) throws IOException {
-        return new RealProgram(workerCount, false, c -> c.replace("{\"name\"", "{\"mgmt\":\"127.0.0.1:0\",\"name\""), true,
-                runFlags());
+        return new RealProgram(workerCount, false, WITH_OPERATORS, true, runFlags());
     }
 
     /** The JVM's flags in {@code run} of {@code deploy/balancer.toml}: what stands between {@code java} and {@code -jar}. */
@@ -66,7 +70,7 @@
 
     private RealProgram(int workerCount, boolean probing, UnaryOperator<String> change, boolean platform)
             throws IOException {
-        this(workerCount, probing, change, platform, List.of("-XX:TieredStopAtLevel=1"));
+        this(workerCount, probing, change, platform, FLAGS);
     }
 
     private RealProgram(int workerCount, boolean probing, UnaryOperator<String> change, boolean platform,
@@ -155,7 +159,7 @@
     }
 
     static ProcessBuilder builder(Path config, String command, String discovery) {
-        return builder(config, command, discovery, List.of("-XX:TieredStopAtLevel=1"));
+        return builder(config, command, discovery, FLAGS);
     }
 
     static ProcessBuilder builder(Path config, String command, String discovery, List<String> flags) {
