Use cold copy workers from the first second, and waste no probes across 14 nodes

Causes: (1) Brain.coldAllows: the sure rate counted w.slots, 0 for a machine that has told nothing, and workSent over 10 s counted as if the node had lived 10 s (restarted nodes: 2 s). (2) Brain.list: each node's first leave was a 14th of a mean job, so all 14 waited 4 to 6 s and then sent together. (3) askCandidates asked machines that the job would not be sent to (avoided, cold without leave). (4) Brain.ask: a restarted node asked discovery up to 6 s after its start. FleetTest hosts 14 nodes on one virtual clock; its three tests fail without the change.

--- a/src/main/java/loomreel/cli/Installations.java
+++ b/src/main/java/loomreel/cli/Installations.java
@@ -27,7 +27,7 @@
             e.problems().forEach(System.err::println);
             return 2;
         }
-        return Running.run(DaemonConfig.of(installation, new SecureRandom().nextLong()), installation.faktory(), server -> {
+        return Running.run(DaemonConfig.of(installation, new SecureRandom().nextLong()), installation.faktory(), false, server -> {
             try {
                 Installation next = InstallationFile.read(file);
                 server.reloaded(DaemonConfig.of(next, 0), next.equals(installation));
--- a/src/main/java/loomreel/cli/Running.java
+++ b/src/main/java/loomreel/cli/Running.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.function.Consumer;
 import loomreel.config.ServeConfig;
+import loomreel.io.Trace;
 import loomreel.ops.OpsServer;
 import loomreel.server.Server;
 import loomreel.settings.FaktorySettings;
@@ -16,12 +17,13 @@
     /**
      * Runs it; the exit code.
      *
+     * @param trace whether what happens is traced on standard error
      * @param onHangUp what SIGHUP has done, on a thread of the JVM's
      */
-    static int run(ServeConfig config, FaktorySettings faktory, Consumer<Server> onHangUp) {
+    static int run(ServeConfig config, FaktorySettings faktory, boolean trace, Consumer<Server> onHangUp) {
         Server server;
         try {
-            server = new Server(config, faktory);
+            server = new Server(config, faktory, trace ? new Trace(System.err) : null);
             if (config.operators() != null) {
                 new OpsServer(server.loop(), config.operators(), server);
             }
--- a/src/main/java/loomreel/core/Dispatcher.java
+++ b/src/main/java/loomreel/core/Dispatcher.java
@@ -276,6 +276,9 @@
         try {
             for (Event next = events.poll(); next != null; next = events.poll()) {
                 actions.clear();
+                if (loop.trace != null) {
+                    TracedModule.event(loop.trace, loop.now(), next);
+                }
                 brain.on(next, loop.now(), actions);
                 actions.forEach(this::perform);
             }
@@ -285,6 +288,9 @@
     }
 
     private void perform(Model.Action action) {
+        if (loop.trace != null) {
+            TracedModule.action(loop.trace, loop.now(), action);
+        }
         if (action instanceof Model.Send send) {
             send(send);
         } else if (action instanceof Model.Cancel cancel) {
--- a/src/main/java/loomreel/decision/Brain.java
+++ b/src/main/java/loomreel/decision/Brain.java
@@ -141,13 +141,16 @@
         ask(false);
     }
 
-    /** Nodes that start together must not ask together; the first call still comes within the rule's time. */
+    /**
+     * Nodes that start together must not ask together, but soon: one that was killed starts with a list as
+     * old as its life, and sends by that. After a failure each waits longer, within the rule's time.
+     */
     private void ask(boolean failed) {
         if (settings.mustAsk()) {
             long most = settings.rules().askWithin() * 6 / 10;
             book.askBackoff = failed ? Math.min(2 * book.askBackoff + most / 4, most) : 0;
             long half = book.askBackoff / 2;
-            actions.add(new Timer(now + half + random.nextLong(1 + (failed ? half : most)), ASK));
+            actions.add(new Timer(now + half + random.nextLong(1 + (failed ? half : most / 4)), ASK));
         }
     }
 
@@ -156,8 +159,8 @@
         for (Entry entry : entries) {
             Worker w = book.workers.computeIfAbsent(entry.id(), id -> new Worker(id, REPORT_LAG));
             if (w.entry == null || entry.startedAt() > w.entry.startedAt()) {
-                // Nodes hear of it together, and must not all send their first job at once.
-                w.restarted(now, random.nextDouble() * book.largestWork() / settings.nodes());
+                // Nodes hear of it together: not all may send their first job at once, nor all wait as long.
+                w.restarted(now, random.nextDouble() * book.largestWork());
                 w.upAt = 0;
             }
             w.entry = entry;
@@ -272,7 +275,8 @@
                 return false;
             }
             for (Worker w : candidates(r, r.probeRound)) {
-                if (now - w.reportAt < FRESH || !maySendTo(r, w)) {
+                // Where the job would not be sent whatever the answer, asking is work for nothing.
+                if (now - w.reportAt < FRESH || !maySendTo(r, w) || now < w.avoidUntil || !coldAllows(r, w)) {
                     continue;
                 }
                 if (w.probedAt < 0 && r.probesSent++ < 4 * PROBES) {
@@ -359,8 +363,12 @@
     private int width(Key key) {
         double seen = key.demand.at(now);
         seen = Math.max(0, seen - 1.5 * Math.sqrt(seen * book.meanRun[0] / MEMORY));
-        seen /= 1 - Math.exp((book.startedAt - now - 1) / MEMORY);
-        return (int) Math.ceil(seen * settings.nodes() / (book.slots(null) * HOT_SHARE));
+        return (int) Math.ceil(seen / seenShare() * settings.nodes() / (book.slots(null) * HOT_SHARE));
+    }
+
+    /** The share of a memory's length that this node has lived through: a sum over it holds no more yet. */
+    private double seenShare() {
+        return 1 - Math.exp((book.startedAt - now - 1) / MEMORY);
     }
 
     /** A worker's load as a share of its slots; infinite where this request must not or should not go. */
@@ -399,14 +407,17 @@
         // Either is safe by itself: what a warm worker gets on average, and what its own slots do at least.
         // The first alone fails a fleet that is mostly cold, and a node that has sent little so far.
         long warm = book.workers.values().stream().filter(x -> book.warmth(x, now) >= 1).count();
-        double even = book.workSent.at(now) / MEMORY / Math.max(warm, 1 + book.workers.size() / 2);
-        double sure = w.slots * LEAST_SPEED / settings.nodes();
+        double even = book.workSent.at(now) / MEMORY / seenShare()
+                / Math.max(warm, 1 + book.workers.size() / 2);
+        // One that has told nothing yet is asked only when it may be sent to: it counts as one of many.
+        double sure = book.slots(w) * LEAST_SPEED / settings.nodes();
         double rate = part * warmth * settings.rules().tipMultiple()
                 * Math.max(COLD_MARGIN * even, COLD_SURE * sure);
         double most = Math.max(book.largestWork(), rate * settings.rules().fallWithin() / 4);
         w.coldLeft = Math.min(most, w.coldLeft + rate * (now - w.coldAt));
         w.coldAt = now;
-        return w.coldLeft >= Math.min(most, book.coldCost(r));
+        // Small jobs wait for as much as a mean one: else all nodes would send theirs as the worker comes.
+        return w.coldLeft >= Math.min(most, Math.max(book.largestWork(), book.coldCost(r)));
     }
 
     /** The first two rules, as far as they hold for any worker. */
--- a/src/main/java/loomreel/http/Peer.java
+++ b/src/main/java/loomreel/http/Peer.java
@@ -97,6 +97,9 @@
             try {
                 connection = new PeerConnection(loop, this, generation);
                 descriptors.open++;
+                if (loop.trace != null) {
+                    loop.trace.line(loop.now(), "handshake", "peer", name);
+                }
             } catch (IOException e) {
                 request.release();
                 exchange.broken(Outcome.CONNECT_FAILED);
--- a/src/main/java/loomreel/io/EventLoop.java
+++ b/src/main/java/loomreel/io/EventLoop.java
@@ -40,6 +40,8 @@
 
     public final Selector selector;
     public final BufferPool pool;
+    /** Where what happens is told line by line; null where it is not, which is the rule. */
+    public final Trace trace;
     /** Where reads land; empty again at the end of each. */
     public final ByteBuffer scratch = ByteBuffer.allocateDirect(BufferPool.SIZE);
     private final PriorityQueue<Timer> timers = new PriorityQueue<>();
@@ -51,9 +53,14 @@
     private boolean stopped;
     private long longest;
 
-    /** A loop that does not run yet. */
-    public EventLoop(BufferPool pool) throws IOException {
+    /**
+     * A loop that does not run yet.
+     *
+     * @param trace null for none
+     */
+    public EventLoop(BufferPool pool, Trace trace) throws IOException {
         this.pool = pool;
+        this.trace = trace;
         selector = Selector.open();
     }
 
@@ -126,6 +133,9 @@
                 guarded(task);
             }
         }
+        if (trace != null) {
+            trace.flush();
+        }
         longest = Math.max(longest, clock() - now);
     }
 
--- a/src/main/java/loomreel/server/Server.java
+++ b/src/main/java/loomreel/server/Server.java
@@ -16,6 +16,7 @@
 import loomreel.io.BoundedLog;
 import loomreel.io.BufferPool;
 import loomreel.io.EventLoop;
+import loomreel.io.Trace;
 import loomreel.process.Lifecycle;
 import loomreel.process.Operations;
 import loomreel.settings.FaktorySettings;
@@ -71,11 +72,12 @@
      * Opens the ports.
      *
      * @param faktorySettings null for none
+     * @param trace null for none
      * @throws IOException if one cannot be had
      */
-    public Server(ServeConfig config, FaktorySettings faktorySettings) throws IOException {
+    public Server(ServeConfig config, FaktorySettings faktorySettings, Trace trace) throws IOException {
         this.config = config;
-        loop = new EventLoop(new BufferPool((int) (config.memory() / 16 / BufferPool.SIZE)));
+        loop = new EventLoop(new BufferPool((int) (config.memory() / 16 / BufferPool.SIZE)), trace);
         dispatcher = new Dispatcher(loop, config.settings(), config.seed(), config.answerSlack());
         workers = new HttpWorkers(dispatcher, config.known(), config.discovery(), config.connectWithin(),
                 config.idleFor());
--- a/src/main/java/loomreel/web/Resolver.java
+++ b/src/main/java/loomreel/web/Resolver.java
@@ -59,6 +59,9 @@
     void watch() {
         if (!calling) {
             calling = true;
+            if (loop.trace != null) {
+                loop.trace.line(loop.now(), "listcall", "from", seq);
+            }
             boolean whole = seq == NONE;
             Bytes request = new Bytes(loop.pool);
             request.append(Heads.request("GET",
@@ -119,6 +122,9 @@
                 return;
             }
             seq = answer.result().seq();
+            if (loop.trace != null) {
+                loop.trace.line(loop.now(), "listed", "seq", seq);
+            }
             // The next call first: the watch breaks if it comes late.
             watch();
             if (answer.result().whole() || !answer.result().entries().isEmpty()) {
--- /dev/null
+++ b/src/test/java/loomreel/decision/FleetTest.java
@@ -0,0 +1,101 @@
+package loomreel.decision;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import loomreel.decision.Fleet.Machine;
+import loomreel.decision.Model.*;
+import org.junit.jupiter.api.Test;
+
+/** What is fine at one node and does harm when 14 do it: sums over the nodes on one clock. */
+class FleetTest {
+    private static final long SECOND = Fleet.SECOND;
+    private static final int NODES = 14;
+    private static final List<RequestClass> CLASSES = Fixture.CLASSES.stream().map(c -> new RequestClass(c.name(),
+            c.kind(), 0, 2.5, SECOND / 5, 5 * SECOND, c.worth(), 0, c.repeat(), c.group(), c.window())).toList();
+    private static final Settings SETTINGS = new Settings(NODES, "north", CLASSES, List.of(),
+            new Rules(3 * SECOND, 10 * SECOND, 0.2, 20 * SECOND, 2.5, 3 * SECOND),
+            new Limits(4, true, true, true, true, SECOND), true, true, Reporting.WITH_PROBES, false, 4000);
+
+    private static Machine machine(Fleet fleet, int number, long startedAt) {
+        Machine m = new Machine(Fixture.worker(number, State.READY, startedAt), 4, 1);
+        fleet.machines.put(m.entry.id(), m);
+        return m;
+    }
+
+    private static List<Entry> entries(List<Machine> machines) {
+        return machines.stream().map(m -> m.entry).toList();
+    }
+
+    /** Nodes that were killed at once come back with an old list: each asks soon, and they do not ask together. */
+    @Test
+    void nodesThatStartTogetherAskForTheListSoonAndOneAfterTheOther() {
+        Fleet fleet = new Fleet(SETTINGS, 3);
+        fleet.start(NODES, List.of());
+        long start = fleet.now;
+        fleet.run(start + 2 * SECOND);
+        List<Long> calls = fleet.listCalls;
+        assertEquals(NODES, calls.size(), "each node has asked once");
+        for (long call : calls) {
+            long together = calls.stream().filter(c -> c >= call && c < call + SECOND / 5).count();
+            assertTrue(together <= NODES / 2, together + " calls within 0.2 s");
+        }
+    }
+
+    /** Six in ten copy workers are replaced: what the nodes send to the cold ones, which have told nothing yet. */
+    @Test
+    void coldWorkersOfAReplacedFleetAreUsedFromTheFirstSecondAndNotPushedOver() {
+        for (long seed = 1; seed <= 4; seed++) {
+            Fleet fleet = new Fleet(SETTINGS, seed);
+            List<Machine> old = new ArrayList<>();
+            for (int i = 0; i < 20; i++) {
+                old.add(machine(fleet, i, 0));
+            }
+            fleet.start(NODES, entries(old));
+            // Six tenths of what the slots are good for.
+            fleet.load(0.6 * 20 * 4 / 0.25 / NODES, 150, SECOND / 4.0, fleet.now + 18 * SECOND);
+            fleet.run(fleet.now + 8 * SECOND);
+            List<Machine> cold = new ArrayList<>();
+            List<Entry> changes = new ArrayList<>();
+            for (int i = 0; i < 12; i++) {
+                old.get(i).refuses = true;
+                changes.add(Fixture.worker(i, State.DRAINING, 0));
+                cold.add(machine(fleet, 20 + i, fleet.now));
+            }
+            changes.addAll(entries(cold));
+            fleet.every(node -> fleet.tell(node, new ListChanges(changes)));
+            long from = fleet.now;
+            fleet.run(from + 3 * SECOND);
+            double used = cold.stream().mapToDouble(m -> m.sent(from, from + 3 * SECOND)
+                    / m.capacity(from, from + 3 * SECOND, SETTINGS.rules())).average().orElse(0);
+            assertTrue(used > 0.4, "seed " + seed + ": the cold ones got " + used + " of what they can do");
+            fleet.run(from + 10 * SECOND);
+            for (Machine m : cold) {
+                for (long at = from; at < from + 7 * SECOND; at += SECOND / 2) {
+                    double sent = m.sent(at, at + 3 * SECOND);
+                    double tips = SETTINGS.rules().tipMultiple() * m.capacity(at, at + 3 * SECOND, SETTINGS.rules());
+                    assertTrue(sent < tips, "seed " + seed + ": " + m.entry.id() + " got " + sent + " of " + tips);
+                }
+            }
+        }
+    }
+
+    /** A cold copy worker whose share is spent would not be sent to: asking it for its load is work for nothing. */
+    @Test
+    void noNodeAsksAWorkerThatItWouldNotSendTo() {
+        Fleet fleet = new Fleet(SETTINGS, 5);
+        List<Machine> all = new ArrayList<>();
+        for (int i = 0; i < 10; i++) {
+            all.add(machine(fleet, i, i < 5 ? 0 : fleet.now));
+        }
+        fleet.start(NODES, entries(all));
+        fleet.load(5, 50, SECOND / 4.0, fleet.now + 10 * SECOND);
+        fleet.run(fleet.now + 10 * SECOND);
+        long warm = all.stream().limit(5).mapToLong(m -> m.probes.size()).sum();
+        long cold = all.stream().skip(5).mapToLong(m -> m.probes.size()).sum();
+        assertTrue(cold * 2 < warm, cold + " probes of cold ones, " + warm + " of warm ones");
+        assertTrue(cold > 0, "the cold ones are used");
+    }
+}
