Send a cold copy worker what its kind's speed allows, not the slowest machine's

A job's time fitted by kind and age: large ones run 1.85 times the hint at an age of 3 s, small ones 4.5 times; all got the leave of the slowest machine (Brain.LEAST_SPEED, 0.45), 0.4 of what a large one could do. Change: the sure leave counts the speed that warm workers of the kind have shown (work over time, which holds what jobs waited and fetched, so it is low rather than high); LEAST_SPEED where less than 12 mean jobs were seen.

--- a/src/main/java/loomreel/decision/Book.java
+++ b/src/main/java/loomreel/decision/Book.java
@@ -53,6 +53,8 @@
     /** Time from send to end of the jobs served, and the work that they were said to be. */
     private final Fading ran;
     private final Fading asked;
+    /** The same for warm workers by kind. */
+    private final Map<String, Fading[]> kinds = new HashMap<>();
     final Bucket[] tenants;
     long askBackoff;
 
@@ -113,9 +115,25 @@
             a.worker.asked.add(hint, now);
             ran.add(run, now);
             asked.add(hint, now);
+            if (warmth(a.worker, a.sentAt) >= 1) {
+                Fading[] kind = kinds.computeIfAbsent(a.worker.entry.kind(),
+                        k -> new Fading[] {new Fading(memory), new Fading(memory)});
+                kind[0].add(run, now);
+                kind[1].add(hint, now);
+            }
         }
     }
 
+    /**
+     * The work that a slot of a warm worker of this kind does in its time, or {@code least} where little is known. It
+     * is low rather than high: the time of a job holds what it waited and fetched.
+     */
+    double speed(String kind, double least, long now) {
+        Fading[] shown = kinds.get(kind);
+        double enough = 12 * meanRunOfAll();
+        return shown == null || shown[1].at(now) < enough ? least : Math.max(least, shown[1].at(now) / shown[0].at(now));
+    }
+
     /**
      * How much longer jobs take at this worker than at all of them, for the work that they were said to be; about 1
      * where little is known. A job that is out counts once it has taken longer than usual, but no more than a mean
--- a/src/main/java/loomreel/decision/Brain.java
+++ b/src/main/java/loomreel/decision/Brain.java
@@ -410,7 +410,7 @@
         double even = book.workSent.at(now) / MEMORY / seenShare()
                 / Math.max(warm, 1 + book.workers.size() / 2);
         // One that has told nothing yet is asked only when it may be sent to: it counts as one of many.
-        double sure = book.slots(w) * LEAST_SPEED / settings.nodes();
+        double sure = book.slots(w) * book.speed(w.entry.kind(), LEAST_SPEED, now) / settings.nodes();
         double rate = part * warmth * settings.rules().tipMultiple()
                 * Math.max(COLD_MARGIN * even, COLD_SURE * sure);
         double most = Math.max(book.largestWork(), rate * settings.rules().fallWithin() / 4);
--- a/src/test/java/loomreel/decision/FleetTest.java
+++ b/src/test/java/loomreel/decision/FleetTest.java
@@ -70,7 +70,7 @@
             fleet.run(from + 3 * SECOND);
             double used = cold.stream().mapToDouble(m -> m.sent(from, from + 3 * SECOND)
                     / m.capacity(from, from + 3 * SECOND, SETTINGS.rules())).average().orElse(0);
-            assertTrue(used > 0.4, "seed " + seed + ": the cold ones got " + used + " of what they can do");
+            assertTrue(used > 0.7, "seed " + seed + ": the cold ones got " + used + " of what they can do");
             fleet.run(from + 10 * SECOND);
             for (Machine m : cold) {
                 for (long at = from; at < from + 7 * SECOND; at += SECOND / 2) {
