--- a/src/main/java/loomreel/cli/Running.java
+++ b/src/main/java/loomreel/cli/Running.java
@@ -21,6 +21,16 @@
      * @param onHangUp what SIGHUP has done, on a thread of the JVM's
      */
     static int run(ServeConfig config, FaktorySettings faktory, boolean trace, Consumer<Server> onHangUp) {
+        return run(config, faktory, trace, onHangUp, () -> { });
+    }
+
+    /**
+     * Runs it; the exit code.
+     *
+     * @param onListening what is done once it listens
+     */
+    static int run(ServeConfig config, FaktorySettings faktory, boolean trace, Consumer<Server> onHangUp,
+            Runnable onListening) {
         Server server;
         try {
             server = new Server(config, faktory, trace ? new Trace(System.err) : null);
@@ -43,6 +53,7 @@
                 Thread.currentThread().interrupt();
             }
         }, "drain"));
+        onListening.run();
         try {
             server.run();
             return 0;
--- a/src/test/java/loomreel/program/CommandsTest.java
+++ b/src/test/java/loomreel/program/CommandsTest.java
@@ -59,6 +59,25 @@
         assertTrue(outcome.startsWith("2\n") && outcome.contains("faktory.queues.q.class: no class is called issue"), outcome);
     }
 
+    /** What the archive of classes is made from: a start, jobs over every path, an end. */
+    @Test
+    void aRehearsalServesItsJobsAndEnds() throws Exception {
+        String outcome = outcome(run(List.of(), "rehearse"));
+        assertTrue(outcome.startsWith("0\n") && outcome.contains("taken 40, served 40, refused 0, failed 0"), outcome);
+    }
+
+    /** The build fills it; a machine where that failed must serve all the same. */
+    @Test
+    void aStartWithoutTheArchiveOfClassesServes() throws Exception {
+        String missing = directory.resolve("none.jsa").toString();
+        Process process = run(List.of("-XX:SharedArchiveFile=" + missing), "serve");
+        try (BufferedReader lines = process.inputReader()) {
+            assertTrue(lines.lines().anyMatch(l -> l.contains("listens on")), "it never listened");
+        } finally {
+            process.destroyForcibly().waitFor();
+        }
+    }
+
     /**
      * The platform's dispatcher is small: what is off is not even loaded, nor is what would make a start slow, reading a
      * command line that says nothing.
