--- a/src/main/java/loomreel/cli/Main.java
+++ b/src/main/java/loomreel/cli/Main.java
@@ -9,7 +9,7 @@
 /** The command line: {@code java -jar loomreel.jar COMMAND}. */
 @Command(name = "loomreel", description = "Hands jobs to copy workers.", mixinStandardHelpOptions = true,
         versionProvider = Version.class, subcommands = {Serve.class, Daemon.class, Demo.class, Mixed.class, MeasureCommand.class, CheckConfig.class, Check.class, Schema.class, BenchlinkCommand.class,
-            Rehearse.class,
+            Rehearse.class, TallyCommand.class,
             Version.class, CommandLine.HelpCommand.class})
 public final class Main implements Callable<Integer> {
     @Spec
--- a/src/main/java/loomreel/io/Trace.java
+++ b/src/main/java/loomreel/io/Trace.java
@@ -56,7 +56,8 @@
         }
     }
 
-    void flush() {
+    /** Hands on what is written so far. */
+    public void flush() {
         try {
             json.flush();
         } catch (IOException e) {
