Give a hot dispatcher's tenants its own part of their shares; refuse only where there is no room

By dispatcher: n37 1,194 jobs, 0.46 refused; n20 0.45, n32 0.43, n55 0.44, n59 0.43, n38 0.41; all others under 0.07. These six see 2.5 to 3 times the mean. Cause: Brain.arrive filled each tenant's bucket by 1.3 even parts (`allowed / settings.nodes() * UNEVEN`), and Brain.place gives up a job beyond it unless a copy worker is under half load, which at a mean load of 0.6 none seems to be. Change: a node that sees more than 1.6 even parts of all traffic (its own jobs among those that reports say are held) fills the buckets by its own part; 1.6 is the most that the zones' skew makes. While the mean load is under ROOM nobody is over.

--- a/src/main/java/loomreel/decision/Book.java
+++ b/src/main/java/loomreel/decision/Book.java
@@ -23,6 +23,8 @@
     final long startedAt;
     /** How long it is held against a worker that it was slow. */
     private static final double SLOW_MEMORY = 4e6;
+    /** So many jobs in reports weigh as much as the guess that the nodes' parts are even. */
+    private static final int EVEN_FOR = 50;
     private final double memory;
     private final Model.Rules rules;
     final TreeMap<String, Worker> workers = new TreeMap<>();
@@ -55,6 +57,9 @@
     private final Fading asked;
     /** The same for warm workers by kind. */
     private final Map<String, Fading[]> kinds = new HashMap<>();
+    /** What reports said that workers held, and how much of it was sent by this node. */
+    private final Fading reportedHeld;
+    private final Fading heldOwn;
     final Bucket[] tenants;
     long askBackoff;
 
@@ -68,6 +73,8 @@
         workSent = new Fading(memory);
         ran = new Fading(memory);
         asked = new Fading(memory);
+        reportedHeld = new Fading(memory);
+        heldOwn = new Fading(memory);
         tenants = settings.tenants().stream().map(t -> new Bucket()).toArray(Bucket[]::new);
     }
 
@@ -168,6 +175,10 @@
             return;
         }
         double free = Math.max(0, report.freeSlots());
+        if (!Double.isNaN(report.held())) {
+            reportedHeld.add(report.held(), now);
+            heldOwn.add(w.open.stream().filter(a -> now - a.sentAt > probeTime).count(), now);
+        }
         double waiting = Double.isNaN(report.waiting()) ? 0 : Math.max(0, report.waiting());
         if (Double.isNaN(report.held())) {
             w.slots = Math.max(Math.max(1, free), w.slots);
@@ -186,6 +197,14 @@
         meanLoad += 0.02 * (Math.min(2, w.load) - meanLoad);
     }
 
+    /**
+     * This node's part of the traffic of all {@code nodes}: an even one while little is known, then what its own jobs
+     * are of those that workers say they hold.
+     */
+    double part(int nodes, long now) {
+        return Math.min(1, (heldOwn.at(now) + (double) EVEN_FOR / nodes) / (reportedHeld.at(now) + EVEN_FOR));
+    }
+
     void sample(Worker w, double load, long now) {
         // The first ones count evenly: one that shows a rush would else stand for the worker's usual load for long.
         double weight = Math.max(1.0 / ++w.samples, Math.max(0.1, 1 - Math.exp((w.reportAt - now) / memory * 2)));
--- a/src/main/java/loomreel/decision/Brain.java
+++ b/src/main/java/loomreel/decision/Brain.java
@@ -20,8 +20,12 @@
     private static final double THRESHOLD = 1;
     /** A tenant beyond its share gets only workers this empty; its traffic is worth little. */
     private static final double OVER_SHARE_THRESHOLD = 0.5;
-    /** A tenant's bucket fills by a node's even part of its share, times this: zones differ. */
+    /**
+     * A tenant's bucket fills by a node's even part of its share, times this: zones differ. A node that sees
+     * more of all traffic than zones explain, so many even parts, goes by its own part.
+     */
     private static final double UNEVEN = 1.3;
+    private static final double HOT = 1.6;
     /** How many places of the ranking the fallback looks at, and how many where a look costs a probe. */
     private static final int SAMPLE = 8;
     private static final int PROBES = 3;
@@ -200,9 +204,11 @@
         wake(r, r.lastMoment);
         if (arrival.tenant() >= 0) {
             double allowed = settings.tenants().get(arrival.tenant()).allowancePerSecond();
-            double rate = allowed / settings.nodes() * UNEVEN;
+            double mine = book.part(settings.nodes(), now) * settings.nodes();
+            double rate = allowed / settings.nodes() * UNEVEN * (mine > HOT ? mine : 1);
             boolean within = book.tenants[arrival.tenant()].take(rate / 1e6, 2 * rate + 3, now);
-            r.threshold = within ? THRESHOLD : OVER_SHARE_THRESHOLD;
+            // Where there is room nobody is harmed, and a node that sees more than its part knows no better.
+            r.threshold = within || book.meanLoad < ROOM ? THRESHOLD : OVER_SHARE_THRESHOLD;
         }
         if (arrival.key() != null) {
             key(r).demand.add(arrival.slots() * run / MEMORY, now);
--- a/src/test/java/loomreel/decision/Fleet.java
+++ b/src/test/java/loomreel/decision/Fleet.java
@@ -99,11 +99,16 @@
 
     /** Jobs come to every node from now on, until a time; keys are drawn unevenly from {@code keys}. */
     void load(double perNodeSecond, int keys, double meanWork, long until) {
-        for (Brain node : nodes) {
-            arrivals(node, perNodeSecond, keys, meanWork, until);
+        for (int node = 0; node < nodes.size(); node++) {
+            load(node, perNodeSecond, keys, meanWork, until);
         }
     }
 
+    /** The same at one node; jobs are of the first tenant where there is one. */
+    void load(int node, double perSecond, int keys, double meanWork, long until) {
+        arrivals(nodes.get(node), perSecond, keys, meanWork, until);
+    }
+
     private void arrivals(Brain node, double rate, int keys, double meanWork, long until) {
         long next = now + (long) (-Math.log(1 - random.nextDouble()) / rate * SECOND);
         if (next < until) {
@@ -113,7 +118,7 @@
                 open.add(id);
                 sizes.put(id, size);
                 String key = "k" + (int) (keys * Math.pow(random.nextDouble(), 2));
-                tell(node, new Arrival(id, key, 1, random.nextInt(2) * Fixture.ISSUE, -1, now + 5 * SECOND, false, size));
+                tell(node, new Arrival(id, key, 1, random.nextInt(2) * Fixture.ISSUE, settings.tenants().size() - 1, now + 5 * SECOND, false, size));
                 arrivals(node, rate, keys, meanWork, until);
             });
         }
--- a/src/test/java/loomreel/decision/FleetTest.java
+++ b/src/test/java/loomreel/decision/FleetTest.java
@@ -82,6 +82,30 @@
         }
     }
 
+    /** Two nodes see four times the traffic of the others; the tenant is within its share, and the fleet has room. */
+    @Test
+    void aTenantWithinItsShareIsServedWhereItsTrafficIsUneven() {
+        for (long seed = 1; seed <= 3; seed++) {
+            Settings s = SETTINGS;
+            Fleet fleet = new Fleet(new Settings(NODES, s.zone(), s.classes(), List.of(new Tenant("t", 300)), s.rules(),
+                    s.limits(), true, true, s.reporting(), false, s.tick()), seed);
+            List<Machine> all = new ArrayList<>();
+            for (int i = 0; i < 20; i++) {
+                all.add(machine(fleet, i, 0));
+            }
+            fleet.start(NODES, entries(all));
+            double part = 240.0 / (NODES - 2 + 2 * 4);
+            long end = fleet.now + 15 * SECOND;
+            for (int node = 0; node < NODES; node++) {
+                fleet.load(node, node < 2 ? 4 * part : part, 150, SECOND / 4.0, end);
+            }
+            fleet.run(end + 6 * SECOND);
+            assertTrue(fleet.refused < 0.03 * fleet.served, "seed " + seed + ": " + fleet.refused + " of "
+                    + (fleet.refused + fleet.served) + " refused");
+            assertEquals(0, fleet.failed);
+        }
+    }
+
     /** A cold copy worker whose share is spent would not be sent to: asking it for its load is work for nothing. */
     @Test
     void noNodeAsksAWorkerThatItWouldNotSendTo() {
