Estimate a dispatcher's part of the traffic by its jobs at a mean copy worker

Cause: Book.report counted the node's own jobs at the copy worker that was asked, which is asked just when this node has sent it nothing for 0.4 s: the part came out low. Change: its own jobs at a mean worker.

--- a/src/main/java/loomreel/decision/Book.java
+++ b/src/main/java/loomreel/decision/Book.java
@@ -177,7 +177,8 @@
         double free = Math.max(0, report.freeSlots());
         if (!Double.isNaN(report.held())) {
             reportedHeld.add(report.held(), now);
-            heldOwn.add(w.open.stream().filter(a -> now - a.sentAt > probeTime).count(), now);
+            // Of a mean worker, not of this one: it is asked when this node has sent it nothing for a while.
+            heldOwn.add(workers.values().stream().mapToInt(x -> x.open.size()).sum() / (double) workers.size(), now);
         }
         double waiting = Double.isNaN(report.waiting()) ? 0 : Math.max(0, report.waiting());
         if (Double.isNaN(report.held())) {
--- a/src/main/java/loomreel/decision/Brain.java
+++ b/src/main/java/loomreel/decision/Brain.java
@@ -26,7 +26,7 @@
      */
     private static final double UNEVEN = 1.3;
     private static final double HOT = 1.6;
-    /** Among so few nodes one may be a zone's only one, and traffic moves between them as they come and go. */
+    /** Among so few nodes one may be the only one of a zone, and traffic moves as they come and go. */
     private static final int FEW = 10;
     /** How many places of the ranking the fallback looks at, and how many where a look costs a probe. */
     private static final int SAMPLE = 8;
