Do not take a young node's first sends for a rate when it reckons the leave for cold workers

Seen on a re-read: Brain.coldAllows divides what was sent by the time lived since, and a node that sent one job 10 ms after its start reckons 25 slots of work a second for each warm worker; the leave for cold ones follows. Change: the time lived counts as no less than the time in which a cold worker falls over.

--- a/src/main/java/loomreel/decision/Brain.java
+++ b/src/main/java/loomreel/decision/Brain.java
@@ -414,8 +414,9 @@
         // Either is safe by itself: what a warm worker gets on average, and what its own slots do at least.
         // The first alone fails a fleet that is mostly cold, and a node that has sent little so far.
         long warm = book.workers.values().stream().filter(x -> book.warmth(x, now) >= 1).count();
-        double even = book.workSent.at(now) / MEMORY / seenShare()
-                / Math.max(warm, 1 + book.workers.size() / 2);
+        // A node that has lived for less than a worker takes to fall over has seen too little to go by it.
+        double lived = Math.max(MEMORY * seenShare(), settings.rules().fallWithin());
+        double even = book.workSent.at(now) / lived / Math.max(warm, 1 + book.workers.size() / 2);
         // One that has told nothing yet is asked only when it may be sent to: it counts as one of many.
         double sure = book.slots(w) * book.speed(w.entry.kind(), LEAST_SPEED, now) / settings.nodes();
         double rate = part * warmth * settings.rules().tipMultiple()
