Have the module say why it gives a job up, and take no list older than the one held

Model.Refuse and Model.Fail carry a Why, given where Brain gives the job up; traces write it and tally counts it. A list whose version is below the one held was taken at its word (Resolver.answered), so that a draining copy worker was sent to again: the whole list is asked for now, and taken as it is. The warm copy workers are counted once a moment instead of once for each cold candidate.

ServeTest.anOlderListIsNotTakenAndTheWholeOneIsAskedFor fails without the change of Resolver; OpsTest kills the program over 24 clients that wait at the door of the shared listener, and each is served once by the next process.

--- a/src/main/java/loomreel/cli/TallyCommand.java
+++ b/src/main/java/loomreel/cli/TallyCommand.java
@@ -93,10 +93,11 @@
         for (Tally.End end : Tally.End.values()) {
             List<Tally.Bad> bad = tally.bad(end);
             if (!bad.isEmpty()) {
-                out.println(bad.size() + " " + end.name().toLowerCase().replace('_', ' '));
+                out.println(bad.size() + " " + Tally.lower(end.name()));
                 bad.stream().limit(jobs).forEach(b -> out.println("  " + b.id() + " at " + b.node() + ", second "
                         + (b.arrivedAt() / 1_000_000 - first) + ", " + b.waited() / 1000 + " ms, attempts " + b.attempts()
-                        + (b.worker() == null ? "" : ", last at " + b.worker() + " ended " + b.outcome())));
+                        + (b.worker() == null ? "" : ", last at " + b.worker() + " ended " + b.outcome())
+                        + (b.why() == null ? "" : ", because " + Tally.lower(b.why()))));
             }
         }
     }
--- a/src/main/java/loomreel/core/TracedModule.java
+++ b/src/main/java/loomreel/core/TracedModule.java
@@ -53,9 +53,9 @@
         } else if (action instanceof Model.Cancel c) {
             trace.line(now, "cancel", "id", c.request(), "attempt", c.attempt());
         } else if (action instanceof Model.Refuse r) {
-            trace.line(now, "refuse", "id", r.request());
+            trace.line(now, "refuse", "id", r.request(), "why", r.why());
         } else if (action instanceof Model.Fail f) {
-            trace.line(now, "fail", "id", f.request());
+            trace.line(now, "fail", "id", f.request(), "why", f.why());
         } else if (action instanceof Model.Probe p) {
             trace.line(now, "probe", "worker", p.worker());
         } else if (action instanceof Model.Subscribe) {
--- a/src/main/java/loomreel/decision/Book.java
+++ b/src/main/java/loomreel/decision/Book.java
@@ -62,6 +62,9 @@
     private final Fading heldOwn;
     final Bucket[] tenants;
     long askBackoff;
+    private long warm;
+    private long warmAt = NEVER;
+    private long warmVersion;
 
     Book(Settings settings, long now, double memory) {
         startedAt = now;
@@ -99,6 +102,16 @@
                 : Math.max(rules.coldFrom(), rules.coldFrom() + (1 - rules.coldFrom()) * age / rules.coldFor());
     }
 
+    /** How many of the listed workers are warm; counted once a moment and list, since all cold ones ask for it. */
+    long warm(long now) {
+        if (warmAt != now || warmVersion != version) {
+            warm = workers.values().stream().filter(w -> warmth(w, now) >= 1).count();
+            warmAt = now;
+            warmVersion = version;
+        }
+        return warm;
+    }
+
     /** What a request takes of a cold worker's leave: the work that it is said to be, or that of its class. */
     double coldCost(Request r) {
         return Double.isNaN(r.arrival.work()) ? work(r) : r.arrival.slots() * r.arrival.work();
--- a/src/main/java/loomreel/decision/Brain.java
+++ b/src/main/java/loomreel/decision/Brain.java
@@ -200,7 +200,7 @@
         r.giveUpAt = type.lateWorth() > 0 ? arrival.due() : r.inTimeUntil;
         r.lastMoment = arrival.due() - 2 * settings.tick();
         if (now >= r.giveUpAt) {
-            giveUp(r);
+            giveUp(r, Why.CAME_TOO_LATE);
             return;
         }
         wake(r, r.lastMoment);
@@ -226,7 +226,8 @@
             return;
         }
         if (now >= r.giveUpAt) {
-            giveUp(r);
+            giveUp(r, !r.attempts.isEmpty() ? Why.NOT_STARTED_IN_TIME
+                    : pool(r).length > 0 ? Why.NO_ROOM_IN_TIME : Why.NO_WORKER);
             return;
         }
         if (settings.limits().probing() && settings.reporting() != Reporting.NONE && askCandidates(r)) {
@@ -236,7 +237,7 @@
         if (worker != null) {
             send(r, worker);
         } else if (r.threshold < THRESHOLD) {
-            giveUp(r);
+            giveUp(r, Why.OVER_SHARE);
         } else {
             // Two steps: with one, quick scores fell by 0.01 to 0.02 on three days of four.
             r.holds += 2;
@@ -337,7 +338,7 @@
     /** Round 0: the two hashed candidates. Round 1: the next places of the key's ranking, the fallback's. */
     private List<Worker> candidates(Request r, int round) {
         List<Worker> list = new ArrayList<>(SAMPLE);
-        Worker[] pool = book.pools.getOrDefault(r.type.kind(), new Worker[0]);
+        Worker[] pool = pool(r);
         Key key = r.arrival.key() == null || pool.length == 0 ? null : key(r);
         if (key != null && round == 0) {
             list.add(key.ranking[0]);
@@ -413,7 +414,7 @@
         }
         // Either is safe by itself: what a warm worker gets on average, and what its own slots do at least.
         // The first alone fails a fleet that is mostly cold, and a node that has sent little so far.
-        long warm = book.workers.values().stream().filter(x -> book.warmth(x, now) >= 1).count();
+        long warm = book.warm(now);
         // A node that has lived for less than a worker takes to fall over has seen too little to go by it.
         double lived = Math.max(MEMORY * seenShare(), settings.rules().fallWithin());
         double even = book.workSent.at(now) / lived / Math.max(warm, 1 + book.workers.size() / 2);
@@ -524,7 +525,7 @@
             r.probeRound = 0;
             place(r);
         } else if (!r.anyOpen()) {
-            giveUp(r);
+            giveUp(r, Why.NO_OTHER_ATTEMPT);
         }
         book.forget(r);
     }
@@ -579,7 +580,7 @@
     /** A request's timer: an answer to a probe, a start or the end is overdue. */
     private void review(Request r) {
         if (now >= r.lastMoment) {
-            giveUp(r);
+            giveUp(r, Why.CLIENT_LEAVES);
             return;
         }
         if (!r.anyOpen() && r.probesOut > 0) {
@@ -594,7 +595,7 @@
         }
         Attempt last = r.attempts.get(r.attempts.size() - 1);
         if (now >= r.giveUpAt) {
-            giveUp(r);
+            giveUp(r, Why.NOT_STARTED_IN_TIME);
         } else if (now - last.sentAt >= book.patience() && maySend(r)) {
             Worker w = choose(r);
             if (w != null) {
@@ -615,11 +616,11 @@
      * Answers at once. Where a repeat does no harm this is a refusal that says when to come back, for who
      * asks again at once meets the same load; what may have run is failed.
      */
-    private void giveUp(Request r) {
+    private void giveUp(Request r, Why why) {
         boolean harmless = r.type.repeat() == Repeat.FREE || r.attempts.stream().allMatch(a -> a.neverRan);
         long holdOff = settings.limits().holdOff() ? settings.limits().maxHoldOff() : 0;
         String request = r.arrival.request();
-        end(r, harmless ? new Refuse(request, holdOff) : new Fail(request));
+        end(r, harmless ? new Refuse(request, holdOff, why) : new Fail(request, why));
     }
 
     /** The only place that ends a request; without an answer where it has one or is owed none. */
@@ -638,10 +639,15 @@
         }
     }
 
+    /** The workers that may run it. */
+    private Worker[] pool(Request r) {
+        return book.pools.getOrDefault(r.type.kind(), new Worker[0]);
+    }
+
     private Key key(Request r) {
         Key key = book.key(r.arrival.key() + '/' + r.type.kind(), KEYS, MEMORY);
         if (key.version != book.version) {
-            rank(key, Book.hash(r.arrival.key()), book.pools.getOrDefault(r.type.kind(), new Worker[0]));
+            rank(key, Book.hash(r.arrival.key()), pool(r));
         }
         return key;
     }
--- a/src/main/java/loomreel/decision/Model.java
+++ b/src/main/java/loomreel/decision/Model.java
@@ -160,11 +160,29 @@
     /** Stops waiting for an attempt; no proof that it did not run. */
     public record Cancel(String request, int attempt) implements Action { }
 
+    /** Why a request is given up: what would have had to be otherwise for it to be served. */
+    public enum Why {
+        /** It came when an answer was worth nothing any more. */
+        CAME_TOO_LATE,
+        /** Its tenant is beyond its share, and no worker was as empty as such a request needs. */
+        OVER_SHARE,
+        /** The list names no worker that may run its class. */
+        NO_WORKER,
+        /** No worker had room, or leave while cold, until its answer was worth nothing. */
+        NO_ROOM_IN_TIME,
+        /** It was sent, and no worker had started it when its answer was worth nothing. */
+        NOT_STARTED_IN_TIME,
+        /** Its last attempt has ended, and the class or the limit of attempts allows no other. */
+        NO_OTHER_ATTEMPT,
+        /** Its client is about to leave. */
+        CLIENT_LEAVES
+    }
+
     /** A final answer: not served, and safe to try again. */
-    public record Refuse(String request, long holdOff) implements Action { }
+    public record Refuse(String request, long holdOff, Why why) implements Action { }
 
     /** A final answer: failed, with no word on what ran. */
-    public record Fail(String request) implements Action { }
+    public record Fail(String request, Why why) implements Action { }
 
     /** Asks a worker for its state. */
     public record Probe(String worker) implements Action { }
--- a/src/main/java/loomreel/tally/Tally.java
+++ b/src/main/java/loomreel/tally/Tally.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
 
@@ -22,10 +23,11 @@
      * A job that did not end well.
      *
      * @param attempts how many were made; {@code worker} is the last one's, or null
+     * @param why what the module gave as the reason for giving it up, or null where it did not
      * @param waited microseconds from its arrival to its end, or to the last line of its dispatcher
      */
-    public record Bad(String node, String id, End end, int attempts, String worker, String outcome, long arrivedAt,
-            long waited) { }
+    public record Bad(String node, String id, End end, int attempts, String worker, String outcome, String why,
+            long arrivedAt, long waited) { }
 
     private static final class Open {
         final String id;
@@ -34,6 +36,7 @@
         int attempts;
         String worker;
         String outcome;
+        String why;
 
         Open(TraceLine line, double lateAfter) {
             id = line.text("id");
@@ -118,18 +121,27 @@
     private void settle(TraceLine line, Map<String, Open> mine, End how) {
         Open job = mine.remove(line.text("id"));
         if (job != null) {
-            count(line, how.name().toLowerCase().replace('_', ' '), how == End.LATE ? job.worker : null);
+            job.why = line.text("why");
+            if (job.why != null) {
+                count(line, "why " + lower(job.why), null);
+            }
+            count(line, lower(how.name()), how == End.LATE ? job.worker : null);
             end(line.node(), job, how, line.at());
         }
     }
 
     private void end(String node, Open job, End how, long at) {
         if (how != End.SERVED) {
-            bad.add(new Bad(node, job.id, how, job.attempts, job.worker, job.outcome, job.arrivedAt,
+            bad.add(new Bad(node, job.id, how, job.attempts, job.worker, job.outcome, job.why, job.arrivedAt,
                     at - job.arrivedAt));
         }
     }
 
+    /** A name in capitals as words. */
+    public static String lower(String name) {
+        return name.toLowerCase(Locale.ROOT).replace('_', ' ');
+    }
+
     private void count(TraceLine line, String what, String worker) {
         seconds.computeIfAbsent(line.at() / 1_000_000, s -> new TreeMap<>()).merge(what, 1, Integer::sum);
         if (worker != null) {
--- a/src/main/java/loomreel/web/Resolver.java
+++ b/src/main/java/loomreel/web/Resolver.java
@@ -121,6 +121,14 @@
                 lost(answer.fault());
                 return;
             }
+            if (answer.result().seq() < seq) {
+                // What it tells may be undone since, and a copy worker that drains would be sent to again. The whole
+                // list is then taken as it is: discovery may have lost its count.
+                String fault = "version " + answer.result().seq() + " after " + seq;
+                seq = NONE;
+                lost(fault);
+                return;
+            }
             seq = answer.result().seq();
             if (loop.trace != null) {
                 loop.trace.line(loop.now(), "listed", "seq", seq);
--- a/src/test/java/loomreel/decision/RulesTest.java
+++ b/src/test/java/loomreel/decision/RulesTest.java
@@ -34,7 +34,7 @@
                 assertEquals(1, sends(then).size(), type + " after " + outcome);
             } else if (type == Fixture.ISSUE) {
                 assertTrue(sends(then).isEmpty(), "what may have run is not sent again");
-                assertEquals(List.of(new Fail("a")), of(Fail.class, then));
+                assertEquals(List.of(new Fail("a", Why.NO_OTHER_ATTEMPT)), of(Fail.class, then));
                 assertTrue(of(Refuse.class, then).isEmpty());
             } else {
                 int cell = Integer.parseInt(first.worker().substring(1)) / 2;
@@ -83,9 +83,9 @@
         Fixture f = new Fixture();
         long late = f.now + Fixture.CLASSES.get(Fixture.READ).deadline() - 5 * SECOND;
         List<Action> answer = f.on(new Arrival("late", "key", 1, Fixture.READ, -1, late, true, SECOND));
-        assertEquals(List.of(new Refuse("late", SECOND)), answer, "it came too late to be worth anything");
+        assertEquals(List.of(new Refuse("late", SECOND, Why.CAME_TOO_LATE)), answer, "it came too late to be worth anything");
         List<Action> held = f.arrive("a", "key", Fixture.READ);
-        assertEquals(List.of(new Refuse("a", SECOND)), of(Refuse.class, f.runTimers(held, f.now + 3 * SECOND)));
+        assertEquals(List.of(new Refuse("a", SECOND, Why.NO_WORKER)), of(Refuse.class, f.runTimers(held, f.now + 3 * SECOND)));
         assertTrue(f.now < 105 * SECOND, "long before the client leaves");
     }
 
--- a/src/test/java/loomreel/program/OpsTest.java
+++ b/src/test/java/loomreel/program/OpsTest.java
@@ -3,13 +3,18 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.EOFException;
+import java.io.IOException;
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -195,6 +200,38 @@
         }
     }
 
+    /** The platform holds the listener, so that clients wait at the door while the program is killed and comes back. */
+    @Test
+    void whoWaitsAtTheDoorOverAKillIsServed() throws Exception {
+        try (RealProgram program = RealProgram.operated(1, true)) {
+            RealProgram.Job cut = program.job("/copy", "");
+            program.workers.get(0).next().answer(202, "");
+            program.started.get(0).destroyForcibly();
+            program.started.get(0).onExit().get(Http.PATIENCE_MS, TimeUnit.MILLISECONDS);
+            assertThrows(IOException.class, () -> {
+                if (cut.answer() == null) {
+                    throw new EOFException();
+                }
+            });
+            List<RealProgram.Job> waiting = new ArrayList<>();
+            for (int i = 0; i < 24; i++) {
+                waiting.add(program.job(i % 2 == 0 ? "/copy" : "/issue", ""));
+            }
+            program.upgrade();
+            Set<String> served = new HashSet<>();
+            for (int i = 0; i < waiting.size(); i++) {
+                Http.Message post = program.workers.get(0).next();
+                post.answer(202, "");
+                String id = post.header("X-Call-Id");
+                assertTrue(served.add(id), id + " is sent twice");
+                assertEquals(200, program.news(id, "w0", "done", ",\"result\":\"" + id + "\""));
+            }
+            for (RealProgram.Job job : waiting) {
+                assertEquals(job.id(), job.answer().body());
+            }
+        }
+    }
+
     @Test
     void onlyDescriptor0CanBeHandedOver() throws Exception {
         Path file = Files.createTempFile("loomreel", ".json");
--- a/src/test/java/loomreel/program/ServeTest.java
+++ b/src/test/java/loomreel/program/ServeTest.java
@@ -322,6 +322,27 @@
         }
     }
 
+    /** An answer that is older than what is held would send jobs to a copy worker that has been told to drain. */
+    @Test
+    void anOlderListIsNotTakenAndTheWholeOneIsAskedFor() throws Exception {
+        try (RealProgram program = new RealProgram(2, false)) {
+            program.discovery.next().answer(200, program.list(43, false, "DRAINING", "SERVING"));
+            program.discovery.next().answer(200, program.list(42, true, "SERVING", "DRAINING"));
+            Http.Message whole = program.discovery.next();
+            assertTrue(whole.first().startsWith("GET /registry/instances HTTP"), whole.first());
+            for (int i = 0; i < 8; i++) {
+                RealProgram.Job job = program.job("/copy", "");
+                program.serve(1, "kept");
+                assertEquals("kept", job.answer().body());
+            }
+            whole.answer(200, program.list(7, true, "SERVING", "DRAINING"));
+            assertTrue(program.discovery.next().first().contains("from=7&"), "its count is the one that holds now");
+            RealProgram.Job job = program.job("/copy", "");
+            program.serve(0, "back");
+            assertEquals("back", job.answer().body());
+        }
+    }
+
     /** Discovery may fail, talk nonsense or fall silent: the list that is held stays good, and it is asked again. */
     @ParameterizedTest
     @ValueSource(strings = {"503", "nonsense", "cut", "closed", "silent"})
--- a/src/test/java/loomreel/tally/TallyTest.java
+++ b/src/test/java/loomreel/tally/TallyTest.java
@@ -34,7 +34,7 @@
         a.line(10 * SECOND, "send", "id", "x", "worker", "w1");
         a.line(10 * SECOND + 500_000, "end", "id", "x", "worker", "w1", "outcome", "OK");
         a.line(11 * SECOND, "arrival", "id", "y", "work", 100_000.0);
-        a.line(11 * SECOND + 50_000, "refuse", "id", "y");
+        a.line(11 * SECOND + 50_000, "refuse", "id", "y", "why", "NO_ROOM_IN_TIME");
         counted(a, "n0");
         Trace b = trace();
         b.line(10 * SECOND, "arrival", "id", "x", "work", Double.NaN);
@@ -56,6 +56,8 @@
         assertEquals(1, all.workers().get("w1").get("probes"));
         assertEquals(1, all.seconds().get(21L).get("list calls"));
         assertEquals("y", all.bad(End.REFUSED_HELD).get(0).id());
+        assertEquals("NO_ROOM_IN_TIME", all.bad(End.REFUSED_HELD).get(0).why());
+        assertEquals(1, all.seconds().get(11L).get("why no room in time"));
         assertEquals("z", all.bad(End.REFUSED_AT_ONCE).get(0).id());
         Tally.Bad lost = all.bad(End.LOST).get(1);
         assertEquals("x", lost.id());
