--- a/src/main/java/loomreel/config/ServeConfig.java
+++ b/src/main/java/loomreel/config/ServeConfig.java
@@ -21,10 +21,15 @@
  * @param connectWithin how long a connection may take to come up, in microseconds
  * @param idleFor how long a copy worker keeps an idle connection, in microseconds
  * @param answerSlack how long after a client's deadline an answer still counts, in microseconds
+ * @param stopsWithin how long the process may live on once it is told to stop, in microseconds
  */
 public record ServeConfig(String name, InetSocketAddress listen, boolean inherited, InetSocketAddress operators,
         Path directory, InetSocketAddress discovery, long seed, int sockets, long memory, ResolverResult known,
-        Model.Settings settings, long connectWithin, long idleFor, long answerSlack) {
+        Model.Settings settings, long connectWithin, long idleFor, long answerSlack,
+        long stopsWithin) {
+    /** The platform kills no earlier than 0.7 s after the longest deadline, which counts as 3 s at most. */
+    private static final long PLATFORM_STOPS = 3_700_000;
+
     /**
      * Reads the configuration.
      *
@@ -66,7 +71,7 @@
                     ResolverResult.of(SetupReader.get(root, "known")), settings,
                     SetupReader.time(0.25, root, "settings", "PolicyLimits", "ConnectTimeoutS"),
                     SetupReader.time(5, root, "settings", "PolicyLimits", "ConnIdleS"),
-                    SetupReader.time(0, root, "settings", "Invariants", "AnswerSlackS"));
+                    SetupReader.time(0, root, "settings", "Invariants", "AnswerSlackS"), PLATFORM_STOPS);
         } catch (IllegalArgumentException e) {
             throw new ConfigException(file + ": " + e.getMessage());
         }
--- a/src/main/java/loomreel/core/CallAttempt.java
+++ b/src/main/java/loomreel/core/CallAttempt.java
@@ -52,6 +52,11 @@
         return worker;
     }
 
+    /** Its first byte is about to be written; whether it may be. */
+    public boolean goesOut() {
+        return rpc.goesOut();
+    }
+
     /** Its last byte has been written: from here on it may run. */
     public void written() {
         if (!written) {
--- a/src/main/java/loomreel/core/Dispatcher.java
+++ b/src/main/java/loomreel/core/Dispatcher.java
@@ -301,7 +301,7 @@
         } else if (action instanceof Model.Refuse refuse) {
             Rpc rpc = rpcs.get(refuse.request());
             if (rpc != null && !rpc.isOver()) {
-                rpc.refuse(new UnavailableStatus(refuse.holdOff()));
+                rpc.refuse(new UnavailableStatus(refuse.holdOff(), refuse.why().words));
                 forget(rpc);
             }
         } else if (action instanceof Model.Fail fail) {
--- a/src/main/java/loomreel/core/Rpc.java
+++ b/src/main/java/loomreel/core/Rpc.java
@@ -15,6 +15,15 @@
         /** Not served, and trying again does no harm. */
         void refused(UnavailableStatus status);
 
+        /**
+         * An attempt is about to go out to a copy worker: from here on it may run.
+         *
+         * @return false where it must not go
+         */
+        default boolean goesOut() {
+            return true;
+        }
+
         /** Not served; whether anything ran is what {@link Rpc#mayHaveRun()} says. */
         void failed();
     }
@@ -49,6 +58,11 @@
         this.caller = caller;
     }
 
+    /** An attempt is about to go out; whether it may. */
+    boolean goesOut() {
+        return caller.goesOut();
+    }
+
     /** Whether it has its answer, or nobody wants one any more. */
     public boolean isOver() {
         return over;
--- a/src/main/java/loomreel/decision/Book.java
+++ b/src/main/java/loomreel/decision/Book.java
@@ -31,7 +31,9 @@
     /** Those that operators have taken out of use, listed or not, and since when. */
     final Map<String, Long> down = new HashMap<>();
     /** W for each kind of worker, and under null for jobs that any kind runs. */
-    Map<String, Worker[]> pools;
+    private Map<String, Worker[]> pools;
+    /** The same for each queue that jobs have asked for since the last list. */
+    private final Map<String, Map<String, Worker[]>> queued = new HashMap<>();
     /** Counts the lists, so that a key's ranking is made anew after a change. */
     long version;
     final Map<String, Request> requests = new HashMap<>();
@@ -235,6 +237,7 @@
     /** W for each kind of worker, and under null for jobs that any kind runs: ready and not down, sorted by id. */
     void rebuild() {
         version++;
+        queued.clear();
         List<Worker> ready = workers.values().stream()
                 .filter(w -> w.entry.state() == State.READY && !down.containsKey(w.id)).toList();
         pools = new HashMap<>();
@@ -243,6 +246,13 @@
                 .forEach((kind, of) -> pools.put(kind, of.toArray(Worker[]::new)));
     }
 
+    /** The workers that may run jobs of a kind and a queue, either of which may be null for any. */
+    Worker[] pool(String kind, String queue) {
+        Worker[] all = pools.getOrDefault(kind, new Worker[0]);
+        return queue == null ? all : queued.computeIfAbsent(queue, q -> new HashMap<>()).computeIfAbsent(kind,
+                k -> Arrays.stream(all).filter(w -> w.entry.takes(queue)).toArray(Worker[]::new));
+    }
+
     Attempt attempt(String request, int number) {
         Request r = requests.get(request);
         Attempt a = r == null || number < 0 || number >= r.attempts.size() ? null : r.attempts.get(number);
--- a/src/main/java/loomreel/decision/Brain.java
+++ b/src/main/java/loomreel/decision/Brain.java
@@ -110,7 +110,7 @@
             end(book.requests.get(withdrawn.request()), null);
         } else if (event instanceof WholeList list) {
             for (Worker w : book.workers.values()) {
-                w.entry = w.entry.gone();
+                w.entry = w.entry.in(State.GONE);
             }
             list(list.entries());
         } else if (event instanceof ListChanges list) {
@@ -174,6 +174,7 @@
         book.askBackoff = 0;
         book.workers.values().removeIf(w -> w.entry.state() == State.GONE);
         book.rebuild();
+        entries.forEach(this::released);
     }
 
     /**
@@ -256,7 +257,6 @@
 
     /** Tries held jobs again: the most worth for its work first, then the newest. */
     private void release() {
-        book.polling = false;
         List<Request> waiting = book.held;
         book.held = new ArrayList<>();
         waiting.sort(Comparator.comparingDouble(this::value).thenComparingLong(r -> r.token).reversed());
@@ -269,7 +269,6 @@
                 book.held.add(r);
             }
         }
-        poll();
     }
 
     private double value(Request r) {
@@ -528,6 +527,14 @@
             giveUp(r, Why.NO_OTHER_ATTEMPT);
         }
         book.forget(r);
+        released(w.entry);
+    }
+
+    /** Who fetches tells at once what room there is: no held job waits for the next look. */
+    private void released(Entry e) {
+        if (e.queues() != null && !book.held.isEmpty()) {
+            release();
+        }
     }
 
     /**
@@ -571,7 +578,9 @@
         if (token == ASK) {
             actions.add(new Subscribe());
         } else if (token == POLL) {
+            book.polling = false;
             release();
+            poll();
         } else if (book.timers.containsKey(token)) {
             review(book.timers.get(token));
         }
@@ -641,11 +650,12 @@
 
     /** The workers that may run it. */
     private Worker[] pool(Request r) {
-        return book.pools.getOrDefault(r.type.kind(), new Worker[0]);
+        return book.pool(r.type.kind(), r.arrival.queue());
     }
 
     private Key key(Request r) {
-        Key key = book.key(r.arrival.key() + '/' + r.type.kind(), KEYS, MEMORY);
+        String queue = r.arrival.queue() == null ? "" : '/' + r.arrival.queue();
+        Key key = book.key(r.arrival.key() + '/' + r.type.kind() + queue, KEYS, MEMORY);
         if (key.version != book.version) {
             rank(key, Book.hash(r.arrival.key()), pool(r));
         }
--- a/src/main/java/loomreel/decision/Model.java
+++ b/src/main/java/loomreel/decision/Model.java
@@ -1,6 +1,8 @@
 package loomreel.decision;
 
 import java.util.List;
+import java.util.Locale;
+import java.util.Set;
 
 /**
  * The interface of the decision module: what a node is told ({@link Settings}, {@link Event}) and what it answers
@@ -86,11 +88,26 @@
             Limits limits, boolean mustAsk, boolean steadyWeights, Reporting reporting, boolean tellsStart,
             long tick) { }
 
-    /** A worker as the list names it; {@code startedAt} is 0 where it has been up for long. */
-    public record Entry(String id, String zone, String kind, int cell, State state, long startedAt, double weight) {
-        /** The same worker, gone. */
-        public Entry gone() {
-            return new Entry(id, zone, kind, cell, State.GONE, startedAt, weight);
+    /**
+     * A worker as the list names it; {@code startedAt} is 0 where it has been up for long.
+     *
+     * @param queues those whose jobs it takes, or null for all
+     */
+    public record Entry(String id, String zone, String kind, int cell, State state, long startedAt, double weight,
+            Set<String> queues) {
+        /** One that takes the jobs of all queues. */
+        public Entry(String id, String zone, String kind, int cell, State state, long startedAt, double weight) {
+            this(id, zone, kind, cell, state, startedAt, weight, null);
+        }
+
+        /** The same worker, in a state. */
+        public Entry in(State next) {
+            return new Entry(id, zone, kind, cell, next, startedAt, weight, queues);
+        }
+
+        /** Whether it takes the jobs of a queue; a job without one, which is null, goes to any. */
+        boolean takes(String queue) {
+            return queues == null || queue == null || queues.contains(queue);
         }
     }
 
@@ -122,9 +139,16 @@
      * @param tenant the tenant's position in {@link Settings#tenants()}, or -1
      * @param due when the client gives this try up
      * @param work the expected work in microseconds at speed 1, or NaN where it is not told
+     * @param queue goes only to workers that take this queue's jobs, or null
      */
     public record Arrival(String request, String key, double slots, int requestClass, int tenant, long due,
-            boolean clientRepeat, double work) implements Event { }
+            boolean clientRepeat, double work, String queue) implements Event {
+        /** One without a queue. */
+        public Arrival(String request, String key, double slots, int requestClass, int tenant, long due,
+                boolean clientRepeat, double work) {
+            this(request, key, slots, requestClass, tenant, due, clientRepeat, work, null);
+        }
+    }
 
     /** The client has left, or the answer was overdue; nothing is owed any more. */
     public record Withdrawn(String request) implements Event { }
@@ -175,7 +199,10 @@
         /** Its last attempt has ended, and the class or the limit of attempts allows no other. */
         NO_OTHER_ATTEMPT,
         /** Its client is about to leave. */
-        CLIENT_LEAVES
+        CLIENT_LEAVES;
+
+        /** As it stands in logs. */
+        public final String words = name().toLowerCase(Locale.ROOT).replace('_', ' ');
     }
 
     /** A final answer: not served, and safe to try again. */
--- a/src/main/java/loomreel/faktory/Admission.java
+++ b/src/main/java/loomreel/faktory/Admission.java
@@ -135,17 +135,13 @@
         closed(queue);
     }
 
-    /**
-     * A try was refused.
-     *
-     * @param holdOff how long the module wants clients to stay away, in microseconds
-     */
-    void refused(String queue, long holdOff, long now) {
+    /** A try was refused. */
+    void refused(String queue, long now) {
         Queue q = closed(queue);
         if (q.pausedUntil <= now) {
             q.pause = Math.min(LONGEST_PAUSE, Math.max(FIRST_PAUSE, 2 * q.pause));
         }
-        q.pausedUntil = Math.max(q.pausedUntil, now + Math.max(q.pause, Math.min(holdOff, LONGEST_PAUSE)));
+        q.pausedUntil = Math.max(q.pausedUntil, now + q.pause);
         // Jobs that were tried together are refused together: that is one piece of news.
         if (q.shrunkAt == Long.MIN_VALUE || now - q.shrunkAt >= FIRST_PAUSE) {
             q.window = Math.max(1, q.window * SHRINK);
--- a/src/main/java/loomreel/faktory/FaktoryConnection.java
+++ b/src/main/java/loomreel/faktory/FaktoryConnection.java
@@ -48,6 +48,8 @@
     private List<String> fetching;
     private EventLoop.Timer fetchWait;
     private boolean inBatch;
+    /** What has been pushed waits for the disk. */
+    private boolean keeping;
     /** All bytes that were ever to be written here. */
     private long appended;
 
@@ -66,7 +68,7 @@
     }
 
     private boolean isBusy() {
-        return fetching != null || inBatch;
+        return fetching != null || inBatch || keeping;
     }
 
     @Override
@@ -121,7 +123,7 @@
                 return;
             }
             switch (verb) {
-                case "PUSH" -> answer(front.push(Payloads.read(rest)));
+                case "PUSH" -> push(Payloads.read(rest));
                 case "PUSHB" -> batch(rest);
                 case "FETCH" -> fetch(rest);
                 case "ACK" -> ack(Payloads.read(rest));
@@ -174,6 +176,22 @@
         }
     }
 
+    private void push(JsonNode job) {
+        FaktoryFront.Pushed pushed = front.push(job);
+        if (pushed.error() != null) {
+            answer(pushed.error());
+            return;
+        }
+        keeping = true;
+        front.whenKept(pushed.isSynced(), () -> {
+            keeping = false;
+            if (!isClosed()) {
+                answer(null);
+                goOn();
+            }
+        });
+    }
+
     /** The whole is read before any of it is taken, in slices, so that a batch never holds the loop for long. */
     private void batch(String text) {
         inBatch = true;
@@ -202,7 +220,7 @@
                     if (json.nextToken() != null) {
                         throw new IOException("more behind the array");
                     }
-                    push(jobs, 0, Payloads.JSON.createObjectNode());
+                    push(jobs, 0, Payloads.JSON.createObjectNode(), false);
                     return;
                 }
                 jobs.add(ONE_OF_MANY.readTree(json));
@@ -213,10 +231,13 @@
         }
     }
 
-    private void push(List<JsonNode> jobs, int from, ObjectNode refused) {
+    private void push(List<JsonNode> jobs, int from, ObjectNode refused, boolean syncedSoFar) {
+        boolean isSynced = syncedSoFar;
         int to = Math.min(jobs.size(), from + BATCH_AT_ONCE);
         for (int i = from; i < to; i++) {
-            String reason = front.push(jobs.get(i));
+            FaktoryFront.Pushed pushed = front.push(jobs.get(i));
+            isSynced |= pushed.isSynced();
+            String reason = pushed.error();
             if (reason != null) {
                 String jid = jobs.get(i).path("jid").asText("");
                 refused.put(jid.isEmpty() ? "#" + i : jid, reason);
@@ -224,10 +245,11 @@
             // What is taken need not be held twice.
             jobs.set(i, null);
         }
+        boolean synced = isSynced;
         if (to < jobs.size()) {
-            loop.at(loop.now(), () -> push(jobs, to, refused));
+            loop.at(loop.now(), () -> push(jobs, to, refused, synced));
         } else {
-            batchDone(null, refused);
+            front.whenKept(synced, () -> batchDone(null, refused));
         }
     }
 
@@ -256,6 +278,7 @@
             return;
         }
         fetching = queues;
+        front.workers.asks(worker, 1);
         fetchWait = loop.at(loop.now() + front.settings.workers().fetchWait().micros(), () -> answerFetch(null));
     }
 
@@ -272,8 +295,7 @@
     /** Ends the wait of a FETCH, with a job or with none. */
     void answerFetch(byte[] job) {
         if (fetching != null && !isClosed()) {
-            fetching = null;
-            fetchWait.cancel();
+            asksNoMore();
             if (job == null) {
                 line("$-1");
             } else {
@@ -283,12 +305,21 @@
         }
     }
 
+    private void asksNoMore() {
+        if (fetching != null) {
+            fetching = null;
+            fetchWait.cancel();
+            front.workers.asks(worker, -1);
+        }
+    }
+
     private void ack(JsonNode ack) {
         JsonNode result = ack.path("result");
         byte[] bytes = result.isMissingNode() || result.isNull() ? new byte[0]
                 : result.isTextual() ? result.asText().getBytes(StandardCharsets.UTF_8) : json(result);
         // As published: an ACK for what nobody waits for is no error.
         front.workers.acknowledged(worker, ack.path("jid").asText(""), bytes);
+        front.noted();
         answer(null);
     }
 
@@ -296,6 +327,7 @@
         String id = fail.path("jid").asText("");
         String why = fail.path("errtype").asText("") + " " + fail.path("message").asText("");
         boolean known = front.workers.failed(worker, id, why.substring(0, Math.min(why.length(), ERROR_MOST)).strip());
+        front.noted();
         answer(known ? null : "ERR Job not found " + clean(id));
     }
 
@@ -305,8 +337,13 @@
             return;
         }
         JsonNode state = beat.path("current_state");
-        front.workers.beat(worker, state.isTextual() ? state.asText() : null);
-        answer(null);
+        front.workers.beat(worker, state.isTextual() ? state.asText() : null, beat.path("rss_kb").asLong(0));
+        String wanted = front.wanted();
+        if (wanted == null) {
+            answer(null);
+        } else {
+            bulk(json(Payloads.JSON.createObjectNode().put("state", wanted)));
+        }
     }
 
     private void track(String rest) throws Payloads.BadPayloadException {
@@ -432,6 +469,7 @@
                 // Before what is left unwritten is thrown away: what has gone out may run.
                 front.workers.written(worker, this, appended - out.length());
             }
+            asksNoMore();
             super.close();
             lines.release();
             ahead.release();
--- a/src/main/java/loomreel/faktory/FaktoryFront.java
+++ b/src/main/java/loomreel/faktory/FaktoryFront.java
@@ -35,6 +35,7 @@
 import loomreel.io.BoundedLog;
 import loomreel.io.Bytes;
 import loomreel.io.EventLoop;
+import loomreel.journal.Journal;
 import loomreel.settings.FaktorySettings;
 
 /**
@@ -53,6 +54,9 @@
     private static final int REMEMBER_TRIES = 100_000;
     /** Batches that are taken apart at a time: each holds its jobs in memory as it came. */
     private static final int BATCHES = 2;
+    /** A segment of the spool, and how often the disk is asked to take over what need not be safe at once. */
+    private static final long SEGMENT = 16 << 20;
+    private static final long SYNC_EVERY = 100_000;
     /** A salt serves for so long: its hash is work that a crowd of connections must not multiply. */
     private static final long SALT_FOR = 1_000_000;
 
@@ -64,6 +68,8 @@
     private final List<Model.RequestClass> classes;
     private final Payloads payloads;
     private final JobBook book;
+    /** Null where what waits is not to be kept. */
+    private final JobLog kept;
     private final Admission admission;
     private final SplittableRandom random;
     private final SecureRandom salts = new SecureRandom();
@@ -74,6 +80,8 @@
     private final Set<FaktoryConnection> strangers = new LinkedHashSet<>();
     private final ArrayDeque<Runnable> batchesWaiting = new ArrayDeque<>();
     private int batches;
+    /** The tries that have no end yet. */
+    private final Set<Try> open = new LinkedHashSet<>();
     /** The job of each try, the oldest first. */
     private final Map<String, Job> tries = new LinkedHashMap<>() {
         private static final long serialVersionUID = 1;
@@ -90,7 +98,6 @@
     private long pumpAt = Long.MAX_VALUE;
     private boolean leaving;
     private boolean accepting = true;
-    private final Path spool;
     private final long startedAt;
     private long commands;
     private int accepted;
@@ -121,9 +128,9 @@
         settings.queues().forEach((name, q) -> weights.put(name, q.weight()));
         admission = new Admission(weights, weights.getOrDefault("*", 1));
         workers = new FaktoryWorkers(dispatcher, settings.workers(), payloads, classes, model.zone(), this);
-        spool = settings.spool() == null ? null : Path.of(settings.spool());
-        if (spool != null) {
-            log.info(Spool.read(spool, payloads, book, loop.now(), log) + " jobs taken over from " + spool.getFileName());
+        kept = settings.spool().equals(FaktorySettings.NO_SPOOL) ? null : restored();
+        if (kept == null) {
+            log.warn("spool is \"none\": jobs that wait are lost with this process");
         }
         listener = ServerSocketChannel.open();
         listener.setOption(StandardSocketOptions.SO_REUSEADDR, true);
@@ -131,6 +138,38 @@
         listener.bind(settings.listen(), BACKLOG);
         key = listener.register(loop.selector, SelectionKey.OP_ACCEPT, this);
         log.info("Faktory is heard on " + listener.getLocalAddress());
+        // What was taken over waits for nothing else to happen.
+        pumpAt(loop.now());
+    }
+
+    private JobLog restored() throws IOException {
+        Path directory = Path.of(settings.spool());
+        JobLog to = new JobLog(new Journal(directory, SEGMENT, loop::post), new JobLog.Classes() {
+            @Override
+            public boolean mayRepeat(int requestClass) {
+                return FaktoryFront.this.mayRepeat(requestClass);
+            }
+
+            @Override
+            public boolean isSynced(int requestClass) {
+                FaktorySettings.Durability chosen = settings.durability().get(classes.get(requestClass).name());
+                return chosen == null ? !mayRepeat(requestClass) : chosen == FaktorySettings.Durability.SYNCED;
+            }
+        }, SEGMENT, settings.spoolMost().bytes());
+        book.tell(to);
+        long began = System.nanoTime();
+        int jobs = to.restore(book, payloads, (jid, why) -> log.warn("job " + jid + " is not taken over: " + why), loop.now());
+        log.info(jobs + " jobs taken over from the spool in " + (System.nanoTime() - began) / 1_000_000 + " ms, "
+                + to.cut() + " bytes cut off; " + directory.toAbsolutePath());
+        syncSoon();
+        return to;
+    }
+
+    private void syncSoon() {
+        loop.at(loop.now() + SYNC_EVERY, () -> {
+            kept.sync();
+            syncSoon();
+        });
     }
 
     /** The copy workers that come here. */
@@ -233,16 +272,29 @@
         }
     }
 
-    /** Takes a job; the answer's line where it is not taken, or null. */
-    String push(JsonNode job) {
+    /**
+     * What has become of a PUSH.
+     *
+     * @param error the answer's line where the job is not taken, or null
+     * @param isSynced whether the job must outlive the machine's power before that is answered
+     */
+    record Pushed(String error, boolean isSynced) { }
+
+    /** Takes a job. It is kept, and may be answered for, once {@link #whenKept} says so. */
+    Pushed push(JsonNode job) {
         if (leaving) {
-            return "ERR this server is leaving";
+            return new Pushed("ERR this server is leaving", false);
+        }
+        String full = kept == null ? null : kept.full();
+        if (full != null) {
+            log.warn("a job is not taken: " + full);
+            return new Pushed("ERR " + full, false);
         }
         try {
             Job.Spec spec = payloads.spec(job);
             byte[] payload = Payloads.JSON.writeValueAsBytes(job);
             if (payload.length > Payloads.LONGEST) {
-                return "ERR a job of over " + Payloads.LONGEST + " bytes";
+                return new Pushed("ERR a job of over " + Payloads.LONGEST + " bytes", false);
             }
             String reason = book.push(spec, payload, loop.now());
             if (reason == null) {
@@ -251,14 +303,23 @@
                     pumpAt(spec.deadline());
                 }
             }
-            return reason;
+            return new Pushed(reason, kept != null && kept.isSynced(spec.requestClass()));
         } catch (Payloads.BadPayloadException e) {
-            return "ERR " + e.getMessage();
+            return new Pushed("ERR " + e.getMessage(), false);
         } catch (IOException e) {
             throw new IllegalStateException("memory does not fail", e);
         }
     }
 
+    /** Has {@code then} run once what has come so far outlives the process, or the machine's power where that is wanted. */
+    void whenKept(boolean isSynced, Runnable then) {
+        if (kept == null) {
+            then.run();
+        } else {
+            kept.whenKept(isSynced, then);
+        }
+    }
+
     /** Has jobs started at a time, or earlier where that is planned already; never within this turn's callers. */
     private void pumpAt(long time) {
         if (time < pumpAt) {
@@ -274,7 +335,7 @@
         pumpAt = Long.MAX_VALUE;
         long now = loop.now();
         book.due(now);
-        boolean startsNone = leaving && spool != null;
+        boolean startsNone = leaving && kept != null;
         int started = 0;
         boolean room = true;
         while (!startsNone && started < START_AT_ONCE && book.hasReady()) {
@@ -285,7 +346,7 @@
             }
             started++;
             admission.opened(queue);
-            start(book.start(queue, now), now);
+            start(book.start(queue, now));
         }
         if (started == START_AT_ONCE) {
             pumpAt(now);
@@ -302,9 +363,28 @@
         if (next < Long.MAX_VALUE) {
             pumpAt(next);
         }
+        if (kept != null && kept.shed()) {
+            pumpAt(now);
+        }
     }
 
-    private void start(Job job, long now) {
+    /** Starts a try; where the job must not run twice, once the log can tell that it was tried. */
+    private void start(Job job) {
+        Try attempt = new Try(job);
+        open.add(attempt);
+        if (kept == null) {
+            take(attempt);
+        } else {
+            kept.whenKept(!mayRepeat(job.spec.requestClass()) && kept.isSynced(job.spec.requestClass()), () -> take(attempt));
+        }
+    }
+
+    private void take(Try attempt) {
+        if (!open.contains(attempt)) {
+            return;
+        }
+        Job job = attempt.job;
+        long now = loop.now();
         Job.Spec spec = job.spec;
         String id;
         do {
@@ -315,29 +395,48 @@
         long due = Math.min(now + c.deadline(), spec.deadline());
         Bytes body = new Bytes(loop.pool);
         body.append(job.payload);
-        Try attempt = new Try(job);
         Rpc rpc = new Rpc(id, spec.requestClass(), "/" + c.name() + "/" + spec.type() + "?jid=" + spec.jid(), Payloads.TYPE,
                 body, due, attempt, dispatcher.figures);
         attempt.rpc = rpc;
         dispatcher.take(rpc, new Model.Arrival(id, spec.key(), Math.max(1, spec.slots()), spec.requestClass(), spec.tenant(),
-                due, job.failures > 0, spec.work()));
+                due, job.failures > 0, spec.work(), spec.queue()));
     }
 
-    private boolean mayRepeat(Job job) {
-        return classes.get(job.spec.requestClass()).repeat() == Model.Repeat.FREE;
+    private boolean mayRepeat(int requestClass) {
+        return classes.get(requestClass).repeat() == Model.Repeat.FREE;
     }
 
     /** One try of a job: the caller of an RPC. */
     private final class Try implements Rpc.Caller {
         private final Job job;
+        /** Null until the module has it. */
         private Rpc rpc;
+        private boolean isOut;
 
         Try(Job job) {
             this.job = job;
         }
 
+        @Override
+        public boolean goesOut() {
+            boolean may = kept == null || kept.out(job);
+            isOut |= may;
+            return may;
+        }
+
+        /** Has the job wait again, as nothing of it has gone out. */
+        void takeBack() {
+            open.remove(this);
+            admission.failed(job.spec.queue());
+            if (rpc != null) {
+                dispatcher.withdraw(rpc);
+            }
+            book.putBack(job, loop.now());
+        }
+
         @Override
         public void served(byte[] result) {
+            open.remove(this);
             admission.served(job.spec.queue());
             book.served(job, result, loop.now());
             pumpAt(loop.now());
@@ -345,16 +444,19 @@
 
         @Override
         public void refused(UnavailableStatus status) {
-            admission.refused(job.spec.queue(), status.retryAfter(), loop.now());
-            book.refused(job, loop.now());
+            open.remove(this);
+            admission.refused(job.spec.queue(), loop.now());
+            book.refused(job, status.why(), loop.now());
+            log.info("a job of " + job.spec.queue() + " is refused and waits: " + status.why());
             pumpAt(loop.now());
         }
 
         @Override
         public void failed() {
+            open.remove(this);
             admission.failed(job.spec.queue());
             boolean mayHaveRun = rpc.mayHaveRun();
-            book.failed(job, mayHaveRun, mayRepeat(job), loop.now());
+            book.failed(job, mayHaveRun, mayRepeat(job.spec.requestClass()), loop.now());
             if (job.state == State.DEAD) {
                 log.warn("job " + job.spec.jid() + " (" + job.spec.type() + ") is dead: " + job.reason);
             }
@@ -447,7 +549,7 @@
             case "requeue" -> {
                 int refused = 0;
                 for (Job job : book.of(target, admits)) {
-                    refused += book.requeue(job, mayRepeat(job), now) ? 0 : 1;
+                    refused += book.requeue(job, mayRepeat(job.spec.requestClass()), now) ? 0 : 1;
                 }
                 pumpAt(now);
                 if (refused > 0) {
@@ -503,13 +605,29 @@
     @Override
     public void leave() {
         leaving = true;
+        if (kept != null) {
+            // What has not gone out waits for the next process; what has is waited for.
+            List.copyOf(open).stream().filter(t -> !t.isOut).forEach(Try::takeBack);
+            kept.write();
+        }
         pumpAt(loop.now());
     }
 
+    /** What copy workers are told that they should be, in the answers to BEAT; null for nothing. */
+    String wanted() {
+        FaktorySettings.OnStop onStop = settings.workers().onStop();
+        return !leaving || onStop == FaktorySettings.OnStop.STAY ? null : onStop.name().toLowerCase(Locale.ROOT);
+    }
+
+    /** What has been noted outlives the process from here on. */
+    void noted() {
+        whenKept(false, () -> { });
+    }
+
     /** Without a place to keep it, what is enqueued is served first. */
     @Override
     public boolean owes() {
-        return book.size(State.ACTIVE) > 0 || spool == null && book.hasReady();
+        return book.size(State.ACTIVE) > 0 || kept == null && book.hasReady();
     }
 
     @Override
@@ -517,14 +635,15 @@
         accepting = false;
         key.cancel();
         new ArrayList<>(connections).forEach(FaktoryConnection::close);
-        if (spool != null) {
+        if (kept != null) {
             try {
-                log.info(Spool.write(spool, book) + " jobs kept in " + spool.getFileName() + " for the next process");
+                kept.close();
+                log.info(book.live() + " jobs that wait are in the spool, for the next process");
             } catch (IOException e) {
-                log.error(book.live() + " jobs that wait are lost", e);
+                log.error("jobs that wait may be lost", e);
             }
         } else if (book.live() > 0) {
-            log.warn(book.live() + " jobs that wait are lost: the settings name no spool");
+            log.warn(book.live() + " jobs that wait are lost: spool is \"none\"");
         }
     }
 
--- a/src/main/java/loomreel/faktory/FaktoryWorkers.java
+++ b/src/main/java/loomreel/faktory/FaktoryWorkers.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import loomreel.core.CallAttempt;
 import loomreel.core.Dispatcher;
 import loomreel.core.Subchannel;
@@ -18,6 +19,8 @@
 final class FaktoryWorkers implements WorkerSource {
     /** A worker's jobs that wait, for each that it can run; more are turned away, as a full worker does. */
     private static final int WAITING_PER_SLOT = 4;
+    /** A worker that takes fewer jobs at a time than before is believed after this. */
+    private static final long LEARN_WITHIN = 5_000_000;
     /** Ids of workers that fetch begin so, and no others do. */
     static final String PREFIX = "f:";
     /** How long after its time a job keeps a slot of a worker that has not said a word of it. */
@@ -48,7 +51,8 @@
         this.site = site;
         this.listener = listener;
         beatWithin = settings.beatWithin().micros();
-        membership = new Membership(new Membership.Limits(beatWithin, settings.slots(), settings.cold()));
+        membership = new Membership(new Membership.Limits(beatWithin, settings.slots(), settings.cold(),
+                Math.max(LEARN_WITHIN, 2 * settings.fetchWait().micros())));
         look();
     }
 
@@ -73,7 +77,7 @@
     private void list(Membership.Worker worker) {
         FaktorySubchannel subchannel = new FaktorySubchannel(worker);
         subchannels.put(subchannel.entry.id(), subchannel);
-        log.info("copy worker " + worker.wid + " has come: " + worker.slots + " slots, queues " + worker.queues);
+        log.info("copy worker " + worker.wid + " has come: queues " + worker.queues + ", labels " + worker.hello.labels());
         dispatcher.listed(this, false, List.of(subchannel.entry));
     }
 
@@ -81,7 +85,7 @@
         FaktorySubchannel gone = subchannels.remove(PREFIX + worker.wid);
         if (gone != null) {
             // Told first: what is taken back must not be sent there again.
-            dispatcher.listed(this, false, List.of(gone.entry.gone()));
+            dispatcher.listed(this, false, List.of(gone.entry.in(Model.State.GONE)));
             gone.takeBack();
         }
     }
@@ -90,10 +94,7 @@
     private void drain(Membership.Worker worker) {
         FaktorySubchannel subchannel = subchannels.get(PREFIX + worker.wid);
         if (subchannel != null) {
-            Model.Entry e = subchannel.entry;
-            subchannel.entry = new Model.Entry(e.id(), e.zone(), e.kind(), e.cell(), Model.State.DRAINING, e.startedAt(),
-                    e.weight());
-            dispatcher.listed(this, false, List.of(subchannel.entry));
+            subchannel.relist(Model.State.DRAINING);
             subchannel.takeBack();
         }
         // A FETCH that waits would wait for nothing.
@@ -104,13 +105,26 @@
 
     /** A FETCH: the job that lies for it, or null where none does; it may wait then. */
     byte[] fetch(Membership.Worker worker, FaktoryConnection connection, List<String> queues) {
+        int before = worker.queues.size();
         if (membership.fetches(worker, queues)) {
             list(worker);
         }
         FaktorySubchannel subchannel = subchannels.get(PREFIX + worker.wid);
+        if (subchannel != null && worker.queues.size() > before) {
+            subchannel.relist(subchannel.entry.state());
+        }
         return subchannel == null || !worker.mayTake() ? null : subchannel.take(connection, queues);
     }
 
+    /** One FETCH more, or fewer, waits for a job. */
+    void asks(Membership.Worker worker, int more) {
+        worker.asks(more);
+        FaktorySubchannel subchannel = subchannels.get(PREFIX + worker.wid);
+        if (more > 0 && subchannel != null) {
+            subchannel.slots();
+        }
+    }
+
     /** What a connection has just fetched ends with this byte of all that is written there. */
     void ends(Membership.Worker worker, FaktoryConnection connection, long at) {
         FaktorySubchannel subchannel = subchannels.get(PREFIX + worker.wid);
@@ -131,8 +145,8 @@
     }
 
     /** A BEAT; {@code state} is what the worker says that it is, or null. */
-    void beat(Membership.Worker worker, String state) {
-        if (membership.beats(worker, state, loop.now())) {
+    void beat(Membership.Worker worker, String state, long rssKb) {
+        if (membership.beats(worker, state, rssKb, loop.now())) {
             log.info("copy worker " + worker.wid + " says " + state + ": nothing new goes there");
             drain(worker);
         }
@@ -218,7 +232,14 @@
 
     @Override
     public void everySecond() {
-        subchannels.values().forEach(s -> s.handOver.sweep(loop.now()));
+        for (FaktorySubchannel s : subchannels.values()) {
+            s.handOver.sweep(loop.now());
+            int slots = s.slots();
+            if (slots != s.told) {
+                log.info("copy worker " + s.worker.wid + " takes " + slots + " jobs at a time, was " + s.told);
+                s.told = slots;
+            }
+        }
     }
 
     /** One worker: a place where what is sent to it lies until it is fetched. */
@@ -226,20 +247,29 @@
         private final Membership.Worker worker;
         private final HandOver<CallAttempt> handOver;
         private Model.Entry entry;
+        /** The slots that the log knows of. */
+        private int told;
 
         FaktorySubchannel(Membership.Worker worker) {
             this.worker = worker;
-            handOver = new HandOver<>(WAITING_PER_SLOT * worker.slots);
+            handOver = new HandOver<>();
             Map<String, String> labels = worker.hello.labels();
             entry = new Model.Entry(PREFIX + worker.wid, labels.getOrDefault("site", site), labels.getOrDefault("kind", ""),
-                    -1, Model.State.READY, worker.startedAt, 1);
+                    -1, Model.State.READY, worker.startedAt, 1, Set.copyOf(worker.queues));
+        }
+
+        /** Tells what it is now, and which queues' jobs it takes. */
+        void relist(Model.State state) {
+            entry = new Model.Entry(entry.id(), entry.zone(), entry.kind(), entry.cell(), state, entry.startedAt(), entry.weight(),
+                    Set.copyOf(worker.queues));
+            dispatcher.listed(FaktoryWorkers.this, false, List.of(entry));
         }
 
         @Override
         public Carrier post(CallAttempt attempt) {
             String queue = payloads.queue(attempt.rpc, classes.get(attempt.rpc.requestClass).name());
             HandOver.Item<CallAttempt> item = worker.mayTake() && worker.queues.contains(queue)
-                    ? handOver.offer(attempt.rpc.id, queue, attempt) : null;
+                    ? handOver.offer(attempt.rpc.id, queue, attempt, WAITING_PER_SLOT * slots()) : null;
             if (item == null) {
                 attempt.end(Outcome.FULL, report());
                 return null;
@@ -270,6 +300,11 @@
                 return null;
             }
             CallAttempt attempt = item.what;
+            if (!attempt.goesOut()) {
+                handOver.settle(item.id);
+                attempt.end(Outcome.FULL, report());
+                return null;
+            }
             long reserved = loop.now() + payloads.reserveFor(attempt.rpc);
             if (reserved < attempt.deadline) {
                 loop.at(reserved, () -> {
@@ -287,12 +322,17 @@
             handOver.takeBackAll().forEach(i -> i.what.end(Outcome.FULL, report()));
         }
 
-        /** Exact: the daemon counts itself. */
+        int slots() {
+            return worker.slots(handOver.running(), loop.now());
+        }
+
+        /** Exact: the daemon counts itself. What lies within the slots is about to be fetched, and does not wait. */
         Model.Report report() {
             int running = handOver.running();
-            int waiting = handOver.waiting();
-            return new Model.Report(waiting, running + waiting, Math.min(1, running / (double) worker.slots),
-                    Math.max(0, worker.slots - running - waiting));
+            int held = running + handOver.waiting();
+            int slots = slots();
+            return new Model.Report(Math.max(0, held - slots), held, Math.min(1, running / (double) slots),
+                    Math.max(0, slots - held));
         }
 
         @Override
--- a/src/main/java/loomreel/faktory/HandOver.java
+++ b/src/main/java/loomreel/faktory/HandOver.java
@@ -50,17 +50,15 @@
         }
     }
 
-    private final int waitingMost;
     private final ArrayDeque<Item<T>> waiting = new ArrayDeque<>();
     private final Map<String, Item<T>> fetched = new HashMap<>();
 
-    /** So many may wait. */
-    HandOver(int waitingMost) {
-        this.waitingMost = waitingMost;
-    }
-
-    /** Lays an item down; null where there is no room, or one of this id is still with the worker. */
-    Item<T> offer(String id, String queue, T what) {
+    /**
+     * Lays an item down; null where there is no room, or one of this id is still with the worker.
+     *
+     * @param waitingMost so many may wait
+     */
+    Item<T> offer(String id, String queue, T what, int waitingMost) {
         if (waiting.size() >= waitingMost || fetched.containsKey(id) || waiting.stream().anyMatch(i -> i.id.equals(id))) {
             return null;
         }
--- a/src/main/java/loomreel/faktory/Job.java
+++ b/src/main/java/loomreel/faktory/Job.java
@@ -35,6 +35,14 @@
     String percent = "";
     String description = "";
     long updatedAt;
+    /** How often it was refused since it last ran or came. */
+    int refusals;
+    /** The segment of the log in which it stands whole; -1 for none. Like {@link #out}, {@link JobLog}'s own. */
+    int segment = -1;
+    /** How many bytes it takes there. */
+    int recorded;
+    /** It is being tried, and has been given to a copy worker. */
+    boolean out;
 
     Job(Spec spec, byte[] payload, long order) {
         this.spec = spec;
--- a/src/main/java/loomreel/faktory/JobBook.java
+++ b/src/main/java/loomreel/faktory/JobBook.java
@@ -28,6 +28,25 @@
      */
     record Limits(int jobs, long bytes, long backoff, long remember, int rememberMost) { }
 
+    /** Who is told of every change, after it. */
+    interface Listener {
+        /** A job has come ({@code from} is null) or stands elsewhere; one whose payload is gone will not be asked for again. */
+        void moved(Job job, State from);
+
+        /** A dead job is kept no longer. */
+        void dropped(Job job);
+    }
+
+    private static final Listener NOBODY = new Listener() {
+        @Override
+        public void moved(Job job, State from) { }
+
+        @Override
+        public void dropped(Job job) { }
+    };
+    /** The first wait of a job that was refused: nothing ran, and there may be room in a moment. */
+    private static final long REFUSED_WAIT = 100_000;
+
     private static final Comparator<Job> BY_TIME = Comparator.<Job>comparingLong(j -> j.due).thenComparingLong(j -> j.order);
     private static final Comparator<Job> BY_PRIORITY =
             Comparator.<Job>comparingInt(j -> -j.spec.priority()).thenComparingLong(j -> j.order);
@@ -53,12 +72,18 @@
     private long pushed;
     private long failures;
     private final long[] ends = new long[State.values().length];
+    private Listener listener = NOBODY;
 
     JobBook(Limits limits, RandomGenerator random) {
         this.limits = limits;
         this.random = random;
     }
 
+    /** Tells somebody of all changes from now on. */
+    void tell(Listener who) {
+        listener = who;
+    }
+
     /** Why a job is not taken, or null where it is. */
     String push(Job.Spec spec, byte[] payload, long now) {
         forget(now);
@@ -99,6 +124,7 @@
             throw new IllegalStateException(job.spec.jid() + " has ended as " + job.state + " and cannot become " + to);
         }
         takeOut(job);
+        State from = job.state;
         job.state = to;
         job.reason = reason;
         job.updatedAt = now;
@@ -109,6 +135,7 @@
             case ACTIVE -> { }
             default -> end(job, now);
         }
+        listener.moved(job, from);
     }
 
     private void takeOut(Job job) {
@@ -150,6 +177,7 @@
         dead.remove(job.spec.jid());
         deadBytes -= job.size();
         job.payload = null;
+        listener.dropped(job);
     }
 
     private void forget(long now) {
@@ -209,9 +237,24 @@
         move(job, State.DONE, "", now);
     }
 
-    /** A try was refused: nothing ran, and another does no harm. */
-    void refused(Job job, long now) {
-        again(job, "refused", now);
+    /**
+     * A try was refused: nothing ran, and another does no harm. That is no failure and uses up no retry; it waits for room,
+     * longer each time, so that it stands in the way of no other job of its queue.
+     */
+    void refused(Job job, String why, long now) {
+        long wait = Math.min(limits.backoff(), REFUSED_WAIT << Math.min(20, job.refusals++));
+        wait = wait / 2 + random.nextLong(wait + 1);
+        if (now + wait >= job.spec.deadline()) {
+            move(job, State.EXPIRED, "refused: " + why + ", and its own deadline comes before the next try", now);
+        } else {
+            job.due = now + wait;
+            move(job, State.RETRY, "refused: " + why, now);
+        }
+    }
+
+    /** A try that nothing has come of is taken back: the job waits as before it. */
+    void putBack(Job job, long now) {
+        move(job, State.ENQUEUED, job.reason, now);
     }
 
     /**
@@ -221,6 +264,7 @@
      */
     void failed(Job job, boolean mayHaveRun, boolean mayRepeat, long now) {
         failures++;
+        job.refusals = 0;
         job.mayHaveRun |= mayHaveRun;
         if (mayHaveRun && !mayRepeat) {
             move(job, State.DEAD, "may have run", now);
@@ -335,22 +379,16 @@
             mortal.removeAll(new HashSet<>(dropped));
         }
         for (Job job : dropped) {
+            State from = job.state;
             job.state = State.CANCELLED;
             job.reason = "discarded";
             job.updatedAt = now;
             end(job, now);
+            listener.moved(job, from);
         }
         new ArrayList<>(dead.values()).forEach(j -> discard(j, now));
     }
 
-    /** All that has not ended and all that is dead, for the next process; an active job has no place there. */
-    List<Job> keepsakes() {
-        List<Job> all = new ArrayList<>(live.values());
-        all.sort(Comparator.comparingLong(j -> j.order));
-        all.addAll(dead.values());
-        return all;
-    }
-
     /** Takes back what another process kept, as it stood there. */
     void restore(Job.Spec spec, byte[] payload, State state, long due, int failures, String reason, boolean mayHaveRun,
             long now) {
@@ -369,6 +407,22 @@
         move(job, state, reason, now);
     }
 
+    /**
+     * Knows a jid that has ended in an earlier process, for as long as if it had here.
+     *
+     * @return the job, or null where it ended too long ago
+     */
+    Job remember(String jid, State state, long at, long now) {
+        if (now - at >= limits.remember() || find(jid) != null) {
+            return null;
+        }
+        Job job = new Job(new Job.Spec(jid, "", "", 0, -1, null, 1, Double.NaN, 0, 0, 0, Long.MAX_VALUE), null, order++);
+        job.state = state;
+        job.updatedAt = at;
+        ended.put(jid, job);
+        return job;
+    }
+
     int size(State state) {
         return switch (state) {
             case SCHEDULED -> scheduled.size();
@@ -401,6 +455,7 @@
         return bytes;
     }
 
+
     /** How many jobs of each queue wait to be tried. */
     Map<String, Integer> queues() {
         Map<String, Integer> sizes = new TreeMap<>();
--- /dev/null
+++ b/src/main/java/loomreel/faktory/JobLog.java
@@ -0,0 +1,367 @@
+package loomreel.faktory;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import loomreel.faktory.Job.State;
+import loomreel.journal.Journal;
+
+/**
+ * What the {@link Journal} says of jobs: each job whole when it comes, then its changes of state, and that it goes out to a
+ * copy worker. Reading it back gives the book as it stood, except that a job which was being tried when the process ended
+ * waits again, or is dead where it may have run and must not run twice.
+ */
+final class JobLog implements JobBook.Listener {
+    /** What is kept on disk for each byte of jobs that wait or are dead, before old segments are shed; and a floor. */
+    private static final int SLACK = 2;
+    /** Jobs that are written anew in one turn to shed a segment. */
+    private static final int MOVED_AT_ONCE = 64;
+    private static final String ENDED = "the process ended while it was tried";
+
+    /** What a class asks of the log. */
+    interface Classes {
+        /** Whether its jobs may run again after they may have run: then nothing is noted of a try. */
+        boolean mayRepeat(int requestClass);
+
+        /** Whether its jobs must outlive the machine's power, and not only the process. */
+        boolean isSynced(int requestClass);
+    }
+
+    /** Who hears of a job that cannot be taken over: the settings do not know its queue any more. */
+    interface Unusable {
+        void job(String jid, String why);
+    }
+
+    /** What the records of one jid come to. */
+    private static final class Kept {
+        JsonNode payload;
+        State state;
+        long order;
+        long due;
+        int failures;
+        boolean mayHaveRun;
+        String reason = "";
+        long at;
+        /** It was given to a copy worker, or was being tried when the machine lost its power: nobody knows. */
+        boolean out;
+        boolean sameBoot;
+    }
+
+    private final Journal journal;
+    private final Classes classes;
+    private final long segmentBytes;
+    private final long most;
+    /** The jobs whose whole record stands in a segment and is still wanted. */
+    private final TreeMap<Integer, LinkedHashSet<Job>> segments = new TreeMap<>();
+    /** Bytes of those records. */
+    private long wanted;
+    private final JsonFactory json = new JsonFactory();
+    private boolean dropping;
+
+    /**
+     * One that has nothing in it.
+     *
+     * @param most bytes on disk beyond which no job is taken
+     */
+    JobLog(Journal journal, Classes classes, long segmentBytes, long most) {
+        this.journal = journal;
+        this.classes = classes;
+        this.segmentBytes = segmentBytes;
+        this.most = most;
+    }
+
+    /**
+     * Puts what earlier processes kept into the book, and opens the journal for this one.
+     *
+     * @return how many jobs wait or are dead
+     * @throws IOException if it cannot be read
+     */
+    int restore(JobBook book, Payloads payloads, Unusable unusable, long now) throws IOException {
+        Map<String, Kept> all = new HashMap<>();
+        journal.open((sameBoot, content) -> read(all, sameBoot, content));
+        List<Map.Entry<String, Kept>> inOrder = new ArrayList<>(all.entrySet());
+        inOrder.sort(Comparator.comparingLong(e -> e.getValue().order));
+        int count = 0;
+        for (Map.Entry<String, Kept> one : inOrder) {
+            Kept kept = one.getValue();
+            if (kept.payload == null) {
+                Job ended = book.remember(one.getKey(), kept.state, kept.at, now);
+                if (ended != null) {
+                    append(ended, false, false, false);
+                }
+                continue;
+            }
+            try {
+                Job.Spec spec = payloads.known(kept.payload);
+                settle(kept, classes.mayRepeat(spec.requestClass()));
+                book.restore(spec, Payloads.JSON.writeValueAsBytes(kept.payload), kept.state, kept.due, kept.failures,
+                        kept.reason, kept.mayHaveRun, now);
+                count++;
+            } catch (Payloads.BadPayloadException e) {
+                unusable.job(one.getKey(), e.getMessage());
+            }
+        }
+        journal.sync();
+        return count;
+    }
+
+    private static void read(Map<String, Kept> all, boolean sameBoot, byte[] content) {
+        JsonNode record;
+        try {
+            record = Payloads.JSON.readTree(content);
+        } catch (IOException e) {
+            throw new IllegalStateException("a record with a good checksum is no JSON", e);
+        }
+        String jid = record.path("jid").asText();
+        if (record.has("payload")) {
+            Kept kept = new Kept();
+            kept.payload = record.get("payload");
+            kept.order = record.path("order").asLong();
+            all.put(jid, kept);
+        }
+        State state = record.has("state") ? State.valueOf(record.get("state").asText()) : null;
+        Kept kept = all.get(jid);
+        if (kept == null) {
+            // Its whole record stood in a segment that is gone: it has ended, or follows whole.
+            if (state == null || !state.isFinal() || state == State.DEAD) {
+                return;
+            }
+            kept = new Kept();
+            all.put(jid, kept);
+        }
+        if (record.path("out").asBoolean()) {
+            kept.out = true;
+            return;
+        }
+        if (record.path("dropped").asBoolean()) {
+            all.remove(jid);
+            return;
+        }
+        kept.state = state;
+        kept.due = record.path("due").asLong();
+        kept.failures = record.path("failures").asInt();
+        kept.mayHaveRun = record.path("may_have_run").asBoolean();
+        kept.reason = record.path("reason").asText();
+        kept.at = record.path("at").asLong();
+        kept.out = record.path("was_out").asBoolean();
+        kept.sameBoot = sameBoot;
+        if (kept.state.isFinal() && kept.state != State.DEAD) {
+            kept.payload = null;
+        }
+    }
+
+    /** What becomes of a job that was being tried. */
+    private static void settle(Kept kept, boolean mayRepeat) {
+        if (kept.state != State.ACTIVE) {
+            return;
+        }
+        // With the power, the record of its going out may be lost as well.
+        boolean mayHaveRun = kept.mayHaveRun || kept.out || !kept.sameBoot;
+        if (mayHaveRun && !mayRepeat) {
+            kept.state = State.DEAD;
+            kept.mayHaveRun = true;
+            kept.reason = "may have run: " + ENDED;
+        } else {
+            kept.state = State.ENQUEUED;
+            kept.reason = ENDED;
+        }
+    }
+
+    /** Why no further job can be kept, or null where one can. */
+    String full() {
+        return journal.fault() != null ? "jobs cannot be kept: " + journal.fault()
+                : journal.bytes() > most ? "the spool is full: " + most + " bytes" : null;
+    }
+
+    /** Whether jobs of a class must outlive the machine's power. */
+    boolean isSynced(int requestClass) {
+        return classes.isSynced(requestClass);
+    }
+
+    /** Has {@code then} run once what is noted outlives the process, or the machine's power where that is asked. */
+    void whenKept(boolean isSynced, Runnable then) {
+        if (isSynced) {
+            journal.whenSynced(then);
+        } else {
+            journal.write();
+            then.run();
+        }
+    }
+
+    /** What is noted has been handed to the system when this returns. */
+    void write() {
+        journal.write();
+    }
+
+    /** Has the disk take over what is noted, soon. */
+    void sync() {
+        journal.sync();
+    }
+
+    /**
+     * A job goes out to a copy worker now: that is noted before the first byte of it is written.
+     *
+     * @return false where it cannot be noted, and the job must not run twice
+     */
+    boolean out(Job job) {
+        if (!job.out && !classes.mayRepeat(job.spec.requestClass())) {
+            job.out = true;
+            append(job, false, true, false);
+            journal.write();
+            return journal.fault() == null;
+        }
+        return true;
+    }
+
+    /** Bytes of earlier processes that were no whole record. */
+    int cut() {
+        return journal.cut();
+    }
+
+    @Override
+    public void moved(Job job, State from) {
+        job.out &= job.state != State.ACTIVE;
+        boolean wanted = job.payload != null;
+        if (job.segment < 0) {
+            if (wanted) {
+                whole(job);
+            }
+        } else if (!wanted) {
+            append(job, false, false, false);
+            forget(job);
+        } else if (!goesWithoutSaying(job, from)) {
+            append(job, false, false, false);
+        }
+    }
+
+    /** Whether reading back what is noted already comes to the same. */
+    private boolean goesWithoutSaying(Job job, State from) {
+        return switch (job.state) {
+            case ENQUEUED -> (from == State.SCHEDULED || from == State.RETRY) && job.due <= job.updatedAt;
+            case ACTIVE -> classes.mayRepeat(job.spec.requestClass());
+            default -> false;
+        };
+    }
+
+    @Override
+    public void dropped(Job job) {
+        if (job.segment >= 0) {
+            append(job, false, false, true);
+            forget(job);
+        }
+    }
+
+    private void forget(Job job) {
+        LinkedHashSet<Job> there = segments.get(job.segment);
+        if (there != null && there.remove(job)) {
+            wanted -= job.recorded;
+        }
+        job.segment = -1;
+    }
+
+    private void whole(Job job) {
+        int segment = append(job, true, false, false);
+        job.segment = segment;
+        segments.computeIfAbsent(segment, s -> new LinkedHashSet<>()).add(job);
+        wanted += job.recorded;
+    }
+
+    private int append(Job job, boolean whole, boolean out, boolean dropped) {
+        ByteArrayOutputStream content = new ByteArrayOutputStream(128 + (whole ? job.size() : 0));
+        try (JsonGenerator to = json.createGenerator(content)) {
+            to.writeStartObject();
+            to.writeStringField("jid", job.spec.jid());
+            if (out) {
+                to.writeBooleanField("out", true);
+            } else if (dropped) {
+                to.writeBooleanField("dropped", true);
+            } else {
+                to.writeStringField("state", job.state.name());
+                to.writeNumberField("due", job.due);
+                to.writeNumberField("failures", job.failures);
+                to.writeBooleanField("may_have_run", job.mayHaveRun);
+                to.writeBooleanField("was_out", job.state == State.ACTIVE && job.out);
+                to.writeStringField("reason", job.reason);
+                to.writeNumberField("at", job.updatedAt);
+            }
+            if (whole) {
+                to.writeNumberField("order", job.order);
+                to.writeFieldName("payload");
+                to.writeRawValue(new String(job.payload, StandardCharsets.UTF_8));
+            }
+            to.writeEndObject();
+        } catch (IOException e) {
+            throw new IllegalStateException("memory does not fail", e);
+        }
+        if (whole) {
+            job.recorded = content.size();
+        }
+        return journal.append(content.toByteArray());
+    }
+
+    /**
+     * Sheds old segments, a little at a time: those of which nothing is wanted, and where the disk holds much more than
+     * the jobs that are kept, the oldest after its jobs have been written anew.
+     *
+     * @return whether more is to be done at once
+     */
+    boolean shed() {
+        int segment = journal.oldest();
+        if (dropping || segment == journal.current()) {
+            return false;
+        }
+        LinkedHashSet<Job> there = segments.getOrDefault(segment, new LinkedHashSet<>());
+        if (there.isEmpty()) {
+            drop();
+            return false;
+        }
+        if (journal.bytes() <= SLACK * wanted + 4 * segmentBytes) {
+            return false;
+        }
+        for (Job job : there.stream().limit(MOVED_AT_ONCE).toList()) {
+            forget(job);
+            whole(job);
+        }
+        return true;
+    }
+
+    /** Removes the oldest segments of which nothing is wanted, once what was written since is safe on the disk. */
+    private void drop() {
+        int first = journal.current();
+        for (Map.Entry<Integer, LinkedHashSet<Job>> e : segments.entrySet()) {
+            if (!e.getValue().isEmpty()) {
+                first = Math.min(first, e.getKey());
+                break;
+            }
+        }
+        int firstWanted = first;
+        dropping = true;
+        journal.whenSynced(() -> {
+            dropping = false;
+            while (journal.oldest() < firstWanted) {
+                segments.remove(journal.oldest());
+                journal.dropOldest();
+            }
+        });
+    }
+
+    /** Whether segments are about to be removed. */
+    boolean isDropping() {
+        return dropping;
+    }
+
+    /** Hands all over and lets the journal go. */
+    void close() throws IOException {
+        journal.close();
+    }
+}
--- a/src/main/java/loomreel/faktory/Membership.java
+++ b/src/main/java/loomreel/faktory/Membership.java
@@ -17,10 +17,11 @@
      * What the settings say.
      *
      * @param beatWithin without a BEAT for so long it is gone
-     * @param slots where its labels do not say
+     * @param slots of one that has not fetched yet, where its labels do not say
      * @param isCold whether one that has just come is cold
+     * @param learnWithin what it takes at a time is the most that it took within this, and no less
      */
-    record Limits(long beatWithin, int slots, boolean isCold) { }
+    record Limits(long beatWithin, int slots, boolean isCold, long learnWithin) { }
 
     /** What becomes of one; nothing leads back from {@code LEAVING}: a process that was told to stop stops. */
     enum Phase { JOINED, SERVING, LEAVING, GONE }
@@ -29,7 +30,16 @@
     static final class Worker {
         final String wid;
         final Hello hello;
-        final int slots;
+        /** What its labels say, or 0: then it is learned from what it takes. */
+        private final int labelled;
+        private final int first;
+        private final long learnWithin;
+        private long learnedFrom;
+        private int most;
+        private int mostBefore;
+        /** FETCHes that wait for a job. */
+        private int asking;
+        long rssKb;
         /** 0 where it counts as warm. */
         final long startedAt;
         final Set<Object> connections = new LinkedHashSet<>();
@@ -39,14 +49,40 @@
         private Phase phase = Phase.JOINED;
         private boolean isDown;
 
-        Worker(String wid, Hello hello, int slots, long startedAt, long now) {
+        Worker(String wid, Hello hello, Limits limits, long now) {
             this.wid = wid;
             this.hello = hello;
-            this.slots = slots;
-            this.startedAt = startedAt;
+            labelled = hello.slots(0);
+            first = limits.slots();
+            learnWithin = limits.learnWithin();
+            startedAt = limits.isCold() ? now : 0;
             beatAt = now;
         }
 
+        /**
+         * How many jobs it takes at a time: what its labels say, else the most FETCHes that waited and jobs that ran at
+         * once of late. A process whose threads each FETCH, run and FETCH again has as many slots as threads.
+         *
+         * @param running jobs that it has now
+         */
+        int slots(int running, long now) {
+            if (labelled > 0) {
+                return labelled;
+            }
+            if (now - learnedFrom >= learnWithin) {
+                mostBefore = now - learnedFrom >= 2 * learnWithin ? 0 : most;
+                most = 0;
+                learnedFrom = now;
+            }
+            most = Math.max(most, asking + running);
+            return Math.max(Math.max(most, mostBefore), first);
+        }
+
+        /** One FETCH more, or fewer, waits. */
+        void asks(int more) {
+            asking += more;
+        }
+
         Phase phase() {
             return phase;
         }
@@ -69,7 +105,7 @@
     /** A connection says HELLO for a process: one that is known, or one that is new. */
     Worker joined(Hello hello, Object connection, long now) {
         Worker worker = workers.computeIfAbsent(hello.wid(), wid -> {
-            Worker made = new Worker(wid, hello, hello.slots(limits.slots()), limits.isCold() ? now : 0, now);
+            Worker made = new Worker(wid, hello, limits, now);
             made.isDown = down.contains(wid);
             return made;
         });
@@ -91,10 +127,12 @@
      * It lives.
      *
      * @param state what it says that it is: null, "quiet" or "terminate"
+     * @param rssKb the memory that it says it uses, 0 where it does not
      * @return whether that takes it out of service
      */
-    boolean beats(Worker worker, String state, long now) {
+    boolean beats(Worker worker, String state, long rssKb, long now) {
         worker.beatAt = now;
+        worker.rssKb = rssKb;
         return ("quiet".equals(state) || "terminate".equals(state)) && leaves(worker);
     }
 
--- a/src/main/java/loomreel/faktory/Payloads.java
+++ b/src/main/java/loomreel/faktory/Payloads.java
@@ -101,6 +101,15 @@
         if (!faults.isEmpty()) {
             throw new BadPayloadException(faults.iterator().next().getMessage());
         }
+        return known(job);
+    }
+
+    /**
+     * What a payload says that was taken before, by this process or an earlier one.
+     *
+     * @throws BadPayloadException saying why it cannot be taken any more
+     */
+    Job.Spec known(JsonNode job) throws BadPayloadException {
         String queue = job.path("queue").asText("default");
         FaktorySettings.Queue q = settings.queues().getOrDefault(queue, settings.queues().get("*"));
         if (q == null) {
--- a/src/main/java/loomreel/server/DaemonConfig.java
+++ b/src/main/java/loomreel/server/DaemonConfig.java
@@ -15,6 +15,8 @@
     /** How long after a client's deadline an answer still counts: none, since clients go by their own clocks. */
     private static final long ANSWER_SLACK = 0;
     private static final long TICK = 1000;
+    /** Whoever runs a daemon waits until it has ended, as long as the deadlines of its classes. */
+    private static final long STOPS_WITHIN = Long.MAX_VALUE;
 
     private DaemonConfig() { }
 
@@ -26,7 +28,7 @@
     public static ServeConfig of(Installation i, long seed) {
         return new ServeConfig(i.name(), i.listen().http(), false, i.listen().operators(), null, i.discovery(), seed,
                 i.limits().descriptors(), i.limits().memory().bytes(), workers(i), settings(i),
-                i.network().connectWithin().micros(), i.network().idleFor().micros(), ANSWER_SLACK);
+                i.network().connectWithin().micros(), i.network().idleFor().micros(), ANSWER_SLACK, STOPS_WITHIN);
     }
 
     private static ResolverResult workers(Installation i) {
--- a/src/main/java/loomreel/server/Server.java
+++ b/src/main/java/loomreel/server/Server.java
@@ -44,9 +44,8 @@
      * it, and a close of ours would cross what a client sends.
      */
     private static final long KEEP_IDLE = 2_300_000;
-    /** A stop is cut short no earlier than this after the longest deadline, which counts as 3 s at most. */
+    /** A stop is cut short no earlier than this after the longest deadline. */
     private static final long KILLED_AFTER = 700_000;
-    private static final long LONGEST = 3_000_000;
     /** What is left of that for the last answers to go out. */
     private static final long LAST_ANSWERS = 200_000;
     private static final long LOOK_EVERY = 20_000;
@@ -238,7 +237,7 @@
                 faktory.leave();
             }
             long longest = config.settings().classes().stream().mapToLong(Model.RequestClass::deadline).max().orElse(0);
-            leaveBy = loop.now() + Math.min(LONGEST, longest) + KILLED_AFTER - LAST_ANSWERS;
+            leaveBy = loop.now() + Math.min(config.stopsWithin(), longest + KILLED_AFTER) - LAST_ANSWERS;
             dispatcher.leaveBy(leaveBy);
             loop.at(loop.now() + Math.min(replaced ? KEEP_IDLE : STAY, longest), () -> {
                 closing = true;
--- a/src/main/java/loomreel/settings/InstallationFile.java
+++ b/src/main/java/loomreel/settings/InstallationFile.java
@@ -131,6 +131,7 @@
             }
         });
         f.jobTypes().forEach((name, t) -> known(t.clazz(), classes, "faktory.job_types." + name + ".class", tree, problems));
+        f.durability().keySet().forEach(name -> known(name, classes, "faktory.durability." + name, tree, problems));
         if (f.queues().isEmpty()) {
             problem(tree, "faktory.queues", "at least one queue is needed", problems);
         }
--- a/src/main/java/loomreel/standin/DaemonProcess.java
+++ b/src/main/java/loomreel/standin/DaemonProcess.java
@@ -110,9 +110,13 @@
         return process.exitValue();
     }
 
-    /** Kills it. */
     @Override
     public void close() {
+        kill();
+    }
+
+    /** Kills it, and waits until it is gone. */
+    public void kill() {
         process.destroyForcibly();
         process.onExit().join();
     }
--- a/src/main/java/loomreel/standin/Measure.java
+++ b/src/main/java/loomreel/standin/Measure.java
@@ -1,14 +1,9 @@
 package loomreel.standin;
 
-import java.io.BufferedInputStream;
 import java.io.IOException;
-import java.io.InputStream;
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.HexFormat;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -58,6 +53,7 @@
                     	workers: cold: false
                     	backlog: {jobs: 1000000, bytes: "1GiB"}
                     	may_mutate: true
+                    	spool: "none"
                     }
                     """.formatted(http.address())), "-Xmx1g");
             news.set(daemon.http);
@@ -175,41 +171,10 @@
         return info.json("INFO").path("faktory").path("tasks").path("Ended").path("done").asInt();
     }
 
-    /** One HTTP connection, plainly, so that the client costs as little as Faktory's. */
-    private final class HttpLink {
-        private final Socket socket = new Socket();
-        private final InputStream in;
-
-        HttpLink() throws IOException {
-            socket.connect(daemon.http);
-            socket.setTcpNoDelay(true);
-            in = new BufferedInputStream(socket.getInputStream());
-        }
-
-        void job() throws IOException {
-            socket.getOutputStream().write(("POST /copy HTTP/1.1\r\nHost: x\r\nX-Call-Id: "
-                    + HexFormat.of().toHexDigits(numbers.incrementAndGet()) + "\r\nX-Budget-Ms: 5000\r\nContent-Length: 1\r\n\r\nc")
-                    .getBytes(StandardCharsets.US_ASCII));
-            StringBuilder head = new StringBuilder();
-            while (head.length() < 4 || !head.substring(head.length() - 4).equals("\r\n\r\n")) {
-                int b = in.read();
-                if (b < 0) {
-                    throw new IOException("closed");
-                }
-                head.append((char) b);
-            }
-            if (!head.toString().startsWith("HTTP/1.1 200")) {
-                throw new IOException(head.toString());
-            }
-            String length = head.toString().replaceFirst("(?s).*Content-Length: (\\d+).*", "$1");
-            in.readNBytes(Integer.parseInt(length));
-        }
-    }
-
     private long http(int connections) throws InterruptedException {
         return rate(connections, () -> {
-            HttpLink link = new HttpLink();
-            return link::job;
+            HttpLink link = new HttpLink(daemon.http);
+            return () -> link.job("/copy", numbers.incrementAndGet());
         });
     }
 
@@ -244,13 +209,13 @@
             int first = c;
             Thread thread = new Thread(() -> {
                 try {
-                    HttpLink link = new HttpLink();
+                    HttpLink link = new HttpLink(daemon.http);
                     for (int i = first; i < PACED_PER_SECOND * PACED_SECONDS; i += clients) {
                         long due = from + i * 1_000_000_000L / PACED_PER_SECOND;
                         for (long wait = due - System.nanoTime(); wait > 0; wait = due - System.nanoTime()) {
                             LockSupport.parkNanos(wait);
                         }
-                        link.job();
+                        link.job("/copy", numbers.incrementAndGet());
                         synchronized (latency) {
                             latency.recordValue((System.nanoTime() - due) / 1000);
                         }
--- /dev/null
+++ b/src/main/java/loomreel/standin/MeasureJobs.java
@@ -0,0 +1,251 @@
+package loomreel.standin;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.stream.Stream;
+import org.HdrHistogram.Histogram;
+
+/**
+ * Jobs from PUSH to ACK at one daemon with a spool, as a client library's worker takes them: one wid, so many connections that
+ * each FETCH, ACK and FETCH again. Beside it, in the same run: HTTP on the same machine, the disk's own fsync, and a restart.
+ */
+public final class MeasureJobs {
+    private static final int[] FETCHES = {1, 10, 100};
+    private static final int CLIENTS = 16;
+    private static final int HTTP_SLOTS = 256;
+    private static final int SYNCS = 300;
+
+    private final PrintStream out;
+    private final int jobs;
+    private final int waiting;
+    private final AtomicLong numbers = new AtomicLong(1_000_000_000L);
+    private final Path spool;
+
+    /**
+     * Prints there.
+     *
+     * @param jobs in each measurement
+     * @param waiting when the daemon is started again
+     */
+    public MeasureJobs(PrintStream out, int jobs, int waiting) throws IOException {
+        this.out = out;
+        this.jobs = jobs;
+        this.waiting = waiting;
+        spool = Files.createTempDirectory("loomreel-measure");
+    }
+
+    /** Measures all of it. */
+    public void run() throws IOException, InterruptedException {
+        Stamps stamps = new Stamps();
+        AtomicReference<InetSocketAddress> news = new AtomicReference<>();
+        try (HttpWorker http = new HttpWorker("w0", news::get, HTTP_SLOTS, 0, stamps)) {
+            String settings = settings(http.address());
+            try (DaemonProcess daemon = new DaemonProcess(DaemonProcess.settings(settings), "-Xmx1g")) {
+                news.set(daemon.http);
+                out.println("fetches  class               jobs/s   p50 ms   p99 ms   HTTP jobs/s   ratio");
+                for (int fetches : FETCHES) {
+                    // The first of each pair warms up what the second measures.
+                    measure(daemon, fetches, "copies");
+                    Rate http1 = http(daemon, fetches);
+                    row(fetches, "written", measure(daemon, fetches, "copies"), http1);
+                    row(fetches, "synced", measure(daemon, fetches, "renewals"), http1);
+                }
+                fill(daemon);
+                daemon.kill();
+            }
+            syncs();
+            restart(settings);
+        } finally {
+            delete(spool);
+        }
+    }
+
+    private record Rate(double perSecond, Histogram latency) { }
+
+    private void row(int fetches, String what, Rate faktory, Rate http) {
+        out.printf("%7d  %-16s %9.0f %8.2f %8.2f %13.0f %7.2f%n", fetches, what, faktory.perSecond(),
+                faktory.latency().getValueAtPercentile(50) / 1e3, faktory.latency().getValueAtPercentile(99) / 1e3,
+                http.perSecond(), faktory.perSecond() / http.perSecond());
+    }
+
+    private String settings(String http) {
+        return """
+                name: "measured"
+                listen: {http: "127.0.0.1:0", operators: "127.0.0.1:0"}
+                classes: {
+                	web: {repeat: "free", target: "2s", deadline: "5s", kind: "http"}
+                	copy: {repeat: "free", target: "2s", deadline: "5s", kind: "faktory"}
+                	issue: {repeat: "single_shot", target: "2s", deadline: "5s", kind: "faktory"}
+                }
+                workers: w0: {address: "%s", kind: "http"}
+                rules: cold_from: 1.0
+                limits: {memory: "1GiB", descriptors: 4096}
+                faktory: {
+                	listen: "127.0.0.1:0"
+                	queues: {copies: class: "copy", renewals: class: "issue", later: class: "copy"}
+                	backlog: {jobs: 1000000, bytes: "256MiB"}
+                	spool: "%s"
+                }
+                """.formatted(http, spool);
+    }
+
+    /** Clients push as fast as they are answered, and a worker with so many connections works it off. */
+    private Rate measure(DaemonProcess daemon, int fetches, String queue) throws IOException, InterruptedException {
+        Map<String, Long> pushed = new ConcurrentHashMap<>();
+        Histogram latency = new Histogram(3);
+        CountDownLatch done = new CountDownLatch(jobs);
+        List<FaktoryLink> links = new ArrayList<>();
+        String wid = "measured-" + numbers.incrementAndGet();
+        for (int i = 0; i < fetches; i++) {
+            FaktoryLink link = new FaktoryLink(daemon.faktory, null, wid, "kind=faktory");
+            links.add(link);
+            thread(() -> {
+                while (done.getCount() > 0) {
+                    if (link.call("FETCH " + queue) instanceof String job) {
+                        link.ok("ACK {\"jid\":\"" + after(job, "\"jid\":\"") + "\"}");
+                        long took = (System.nanoTime() - pushed.get(after(job, "\"client_jid\":\""))) / 1000;
+                        synchronized (latency) {
+                            latency.recordValue(took);
+                        }
+                        done.countDown();
+                    }
+                }
+            });
+        }
+        long from = System.nanoTime();
+        AtomicInteger left = new AtomicInteger(jobs);
+        // As many as the worker takes at a time: a queue that only grows would be all that is measured.
+        int clients = Math.min(CLIENTS, fetches);
+        for (int i = 0; i < clients; i++) {
+            thread(() -> {
+                try (FaktoryLink link = new FaktoryLink(daemon.faktory, null, null)) {
+                    while (left.getAndDecrement() > 0) {
+                        String jid = "m-" + numbers.incrementAndGet();
+                        pushed.put(jid, System.nanoTime());
+                        link.ok("PUSH " + job(jid, queue, ""));
+                    }
+                }
+            });
+        }
+        done.await();
+        double perSecond = jobs * 1e9 / (System.nanoTime() - from);
+        for (FaktoryLink link : links) {
+            link.close();
+        }
+        return new Rate(perSecond, latency);
+    }
+
+    private static String job(String jid, String queue, String more) {
+        return "{\"jid\":\"" + jid + "\",\"jobtype\":\"Make\",\"queue\":\"" + queue + "\",\"args\":[\"c\"]" + more + "}";
+    }
+
+    private static String after(String text, String what) {
+        int at = text.indexOf(what) + what.length();
+        return text.substring(at, text.indexOf('"', at));
+    }
+
+    private Rate http(DaemonProcess daemon, int connections) throws InterruptedException {
+        Histogram latency = new Histogram(3);
+        AtomicInteger left = new AtomicInteger(jobs);
+        CountDownLatch done = new CountDownLatch(connections);
+        long from = System.nanoTime();
+        for (int i = 0; i < connections; i++) {
+            thread(() -> {
+                try (HttpLink link = new HttpLink(daemon.http)) {
+                    while (left.getAndDecrement() > 0) {
+                        long asked = System.nanoTime();
+                        link.job("/web", numbers.incrementAndGet());
+                        synchronized (latency) {
+                            latency.recordValue((System.nanoTime() - asked) / 1000);
+                        }
+                    }
+                } finally {
+                    done.countDown();
+                }
+            });
+        }
+        done.await();
+        return new Rate(jobs * 1e9 / (System.nanoTime() - from), latency);
+    }
+
+    private void fill(DaemonProcess daemon) throws IOException {
+        try (FaktoryLink link = new FaktoryLink(daemon.faktory, null, null)) {
+            for (int i = 0; i < waiting; i += 1000) {
+                StringBuilder batch = new StringBuilder("PUSHB [");
+                for (int j = 0; j < 1000; j++) {
+                    batch.append(j == 0 ? "" : ",")
+                            .append(job("r-" + (i + j + 1_000_000), "later", ",\"at\":\"2099-01-01T00:00:00Z\""));
+                }
+                if (link.json(batch.append(']').toString()).size() > 0) {
+                    throw new IOException("jobs were refused");
+                }
+            }
+        }
+    }
+
+    private void restart(String settings) throws IOException, InterruptedException {
+        long from = System.nanoTime();
+        try (DaemonProcess daemon = new DaemonProcess(DaemonProcess.settings(settings), "-Xmx1g")) {
+            double took = (System.nanoTime() - from) / 1e9;
+            try (FaktoryLink link = new FaktoryLink(daemon.faktory, null, null)) {
+                int there = link.json("INFO").path("faktory").path("tasks").path("Scheduled").path("size").asInt();
+                out.printf("restart after a kill with %d jobs waiting: %d there after %.2f s%n", waiting, there, took);
+            }
+        }
+    }
+
+    /** What the disk itself takes for a record and an fsync, one after another. */
+    private void syncs() throws IOException {
+        Histogram took = new Histogram(3);
+        Path file = spool.resolve("raw");
+        try (FileChannel raw = FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.WRITE)) {
+            for (int i = 0; i < SYNCS; i++) {
+                long from = System.nanoTime();
+                raw.write(ByteBuffer.allocate(300));
+                raw.force(false);
+                took.recordValue((System.nanoTime() - from) / 1000);
+            }
+        }
+        out.printf("the disk's own write and fsync of 300 bytes: p50 %.2f ms, p99 %.2f ms, %.0f a second%n",
+                took.getValueAtPercentile(50) / 1e3, took.getValueAtPercentile(99) / 1e3, 1e6 / took.getMean());
+    }
+
+    private interface Work {
+        void run() throws IOException;
+    }
+
+    private static void thread(Work work) {
+        Thread thread = new Thread(() -> {
+            try {
+                work.run();
+            } catch (IOException e) {
+                // A worker's connections are closed when all is measured.
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    static void delete(Path directory) throws IOException {
+        try (Stream<Path> files = Files.walk(directory)) {
+            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.delete(file);
+            }
+        }
+    }
+}
--- a/src/main/java/loomreel/standin/MixedRun.java
+++ b/src/main/java/loomreel/standin/MixedRun.java
@@ -10,6 +10,8 @@
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HexFormat;
@@ -106,7 +108,7 @@
         in.computeIfAbsent(what, w -> new AtomicInteger()).incrementAndGet();
     }
 
-    private String settings() {
+    private String settings(Path spool) {
         StringBuilder workers = new StringBuilder();
         for (int i = 0; i < WORKERS; i++) {
             workers.append("\tw").append(i).append(": address: \"").append(httpWorkers.get(i).address()).append("\"\n");
@@ -131,8 +133,9 @@
                 	workers: {beat_within: "3s", fetch_wait: "500ms", cold: false}
                 	backoff: "200ms"
                 	retry: 8
+                	spool: "%s"
                 }
-                """.formatted(workers);
+                """.formatted(workers, spool);
     }
 
     /**
@@ -145,7 +148,8 @@
         for (int i = 0; i < WORKERS; i++) {
             httpWorkers.add(new HttpWorker("w" + i, news::get, SLOTS, WORK_MS, stamps));
         }
-        daemon = new DaemonProcess(DaemonProcess.settings(settings()));
+        Path spool = Files.createTempDirectory("loomreel-mixed");
+        daemon = new DaemonProcess(DaemonProcess.settings(settings(spool)));
         try {
             news.set(daemon.http);
             for (int i = 0; i < WORKERS; i++) {
@@ -182,6 +186,7 @@
             daemon.close();
             all.forEach(FaktoryWorker::close);
             httpWorkers.forEach(HttpWorker::close);
+            MeasureJobs.delete(spool);
         }
         return new Result(plain(ends), plain(troubles), servedBy(), List.copyOf(broken));
     }
--- a/src/main/java/loomreel/web/HttpFront.java
+++ b/src/main/java/loomreel/web/HttpFront.java
@@ -148,7 +148,7 @@
 
     /** What a job is told that is not taken: while clients are sent away, others have room for it now. */
     UnavailableStatus noRoom() {
-        return new UnavailableStatus(gate.takesJobs() ? COME_BACK : 0);
+        return new UnavailableStatus(gate.takesJobs() ? COME_BACK : 0, "no room");
     }
 
     @Override
--- a/src/main/java/loomreel/web/HttpSubchannel.java
+++ b/src/main/java/loomreel/web/HttpSubchannel.java
@@ -25,9 +25,18 @@
     private final BoundedLog log;
     private final Peer peer;
     private final long patience;
+    /** Who hears whether it answers. */
+    interface Signs {
+        void answered();
+
+        void silent();
+    }
+
+    private final Signs signs;
     private Model.Entry entry;
 
-    HttpSubchannel(Dispatcher dispatcher, Model.Entry entry, Peer peer, BoundedLog log) {
+    HttpSubchannel(Dispatcher dispatcher, Model.Entry entry, Peer peer, BoundedLog log, Signs signs) {
+        this.signs = signs;
         this.dispatcher = dispatcher;
         this.entry = entry;
         this.peer = peer;
@@ -59,6 +68,10 @@
     @Override
     public Carrier post(CallAttempt attempt) {
         Rpc rpc = attempt.rpc;
+        if (!attempt.goesOut()) {
+            attempt.end(Outcome.FULL, null);
+            return null;
+        }
         long left = Math.max(1, (attempt.deadline - attempt.sentAt) / 1000);
         String id = "X-Call-Id: " + rpc.id;
         String budget = "X-Budget-Ms: " + left;
@@ -94,6 +107,7 @@
         @Override
         public void answered(Message message) {
             connection = null;
+            signs.answered();
             // News may have ended it before the 202, and the connection waited for that alone.
             if (attempt.hasEnded()) {
                 return;
@@ -114,6 +128,7 @@
         @Override
         public void broken(Outcome outcome) {
             connection = null;
+            told(outcome);
             attempt.end(outcome, null);
         }
 
@@ -136,6 +151,7 @@
         peer.call(request("GET", "/stats", 0), new Errand() {
             @Override
             public void answered(Message message) {
+                signs.answered();
                 String header = message.header("x-load-report");
                 boolean well = message.status() == 200;
                 String load = header != null ? header : new String(message.body().toArray(), StandardCharsets.UTF_8);
@@ -144,11 +160,34 @@
 
             @Override
             public void broken(Outcome outcome) {
+                told(outcome);
                 dispatcher.probed(entry.id(), outcome, sentAt, null);
             }
         });
     }
 
+    /** Looks whether it is there, and tells nobody but who hears of its signs. */
+    void look() {
+        peer.call(request("GET", "/stats", 0), new Errand() {
+            @Override
+            public void answered(Message message) {
+                signs.answered();
+            }
+
+            @Override
+            public void broken(Outcome outcome) {
+                told(outcome);
+            }
+        });
+    }
+
+    /** A reset comes from a machine that is there. */
+    private void told(Outcome outcome) {
+        if (outcome == Outcome.CONNECT_FAILED || outcome == Outcome.TIMEOUT) {
+            signs.silent();
+        }
+    }
+
     private Bytes request(String method, String target, int length, String... headers) {
         Bytes request = new Bytes(dispatcher.loop.pool);
         request.append(Heads.request(method, target, peer.address().getHostString() + ":" + peer.address().getPort(),
--- a/src/main/java/loomreel/web/HttpWorkers.java
+++ b/src/main/java/loomreel/web/HttpWorkers.java
@@ -17,6 +17,13 @@
 /** The copy workers that are called over HTTP: from discovery, or from a list that stays as it is. */
 public final class HttpWorkers implements WorkerSource, Resolver.Listener {
     private static final long SECOND = 1_000_000;
+    private static final HttpSubchannel.Signs NO_SIGNS = new HttpSubchannel.Signs() {
+        @Override
+        public void answered() { }
+
+        @Override
+        public void silent() { }
+    };
     /** Our side of an idle connection ends at this share of the time after which the copy worker ends it. */
     private static final double IDLE_SHARE = 0.7;
 
@@ -30,6 +37,8 @@
     /** Null where the list stays as it is. */
     private final Resolver resolver;
     private final Map<String, HttpSubchannel> subchannels = new HashMap<>();
+    /** Of the copy workers of a list that stays as it is, which has nobody to say that one is gone; else empty. */
+    private final Map<String, Reachability> reachable = new HashMap<>();
 
     /**
      * Copy workers as they were last known.
@@ -90,6 +99,44 @@
     @Override
     public void everySecond() {
         subchannels.values().forEach(HttpSubchannel::closeStale);
+        reachable.forEach((id, r) -> {
+            if (r.isDue(dispatcher.loop.now())) {
+                subchannels.get(id).look();
+            }
+        });
+    }
+
+    /** What a copy worker's answers and silences come to, where no discovery speaks for it. */
+    private HttpSubchannel.Signs signs(String id) {
+        if (resolver != null) {
+            return NO_SIGNS;
+        }
+        Reachability r = new Reachability();
+        reachable.put(id, r);
+        return new HttpSubchannel.Signs() {
+            @Override
+            public void answered() {
+                if (r.answered() == Reachability.Change.BACK) {
+                    log.info("copy worker " + id + " answers again");
+                    Model.Entry e = subchannels.get(id).entry();
+                    // Whatever it was, it has been away: it counts as cold.
+                    list(id, new Model.Entry(id, e.zone(), e.kind(), e.cell(), Model.State.READY, dispatcher.loop.now(), e.weight()));
+                }
+            }
+
+            @Override
+            public void silent() {
+                if (r.silent(dispatcher.loop.now()) == Reachability.Change.OUT) {
+                    log.warn("copy worker " + id + " cannot be reached: nothing goes there until it answers");
+                    list(id, subchannels.get(id).entry().in(Model.State.GONE));
+                }
+            }
+        };
+    }
+
+    private void list(String id, Model.Entry entry) {
+        subchannels.get(id).update(known.addresses().get(id), entry);
+        dispatcher.listed(this, false, List.of(entry));
     }
 
     @Override
@@ -118,7 +165,7 @@
     private HttpSubchannel subchannel(Model.Entry entry, ResolverResult result) {
         Peer peer = new Peer(dispatcher.loop, entry.id(), result.addresses().get(entry.id()), descriptors,
                 connectWithin, keepAlive, peerLog);
-        return new HttpSubchannel(dispatcher, entry, peer, log);
+        return new HttpSubchannel(dispatcher, entry, peer, log, signs(entry.id()));
     }
 
     private void retire(String id) {
--- a/src/main/resources/loomreel/settings/installation.cue
+++ b/src/main/resources/loomreel/settings/installation.cue
@@ -145,8 +145,13 @@
 	remember_most: int & >=1 & <=10000000 | *100000
 	// Whether clients may FLUSH and MUTATE.
 	may_mutate: bool | *false
-	// The file in which a process that is asked to stop leaves the jobs that wait, for the next one.
-	spool?: string
+	// The directory in which jobs that wait outlive stops and kills; "none": they are lost with the process.
+	spool: string | *"loomreel-spool"
+	// Bytes on disk beyond which no job is taken.
+	spool_most: #Size | *"1GiB"
+	// What waiting jobs of a class outlive once PUSH is answered: "written" the process, "synced" the machine's power as
+	// well. Where a class is not named here: "written" if its jobs may run again, else "synced".
+	durability?: [string]: "written" | "synced"
 }
 
 #FaktoryWorkers: {
@@ -155,10 +160,12 @@
 	beat_within: #Duration | *"60s"
 	// How long a FETCH waits for a job.
 	fetch_wait: #Duration | *"2s"
-	// Jobs at a time where its labels do not say ("slots=4").
+	// Jobs at a time before it has fetched, where its labels do not say ("slots=4"); then what it takes at a time.
 	slots: int & >=1 & <=1024 | *1
-	// Whether one that has just come is cold, as the rules say.
-	cold: bool | *true
+	// Whether one that has just come is cold, as the rules say. One that fetches takes no more than it can run.
+	cold: bool | *false
+	// What copy workers are told in the answers to BEAT while this process stops.
+	on_stop: "stay" | "terminate" | *"quiet"
 }
 
 #Queue: {
--- a/src/test/java/loomreel/arch/ArrowsTest.java
+++ b/src/test/java/loomreel/arch/ArrowsTest.java
@@ -34,7 +34,10 @@
     static final ArchRule WEB = knowsOnly("web", "http", "io", "core", "config", "decision");
 
     @ArchTest
-    static final ArchRule FAKTORY = knowsOnly("faktory", "io", "core", "decision", "settings");
+    static final ArchRule FAKTORY = knowsOnly("faktory", "io", "journal", "core", "decision", "settings");
+
+    @ArchTest
+    static final ArchRule JOURNAL = knowsOnly("journal");
 
     @ArchTest
     static final ArchRule PROCESS = knowsOnly("process", "http", "io", "core", "decision");
--- a/src/test/java/loomreel/decision/FleetTest.java
+++ b/src/test/java/loomreel/decision/FleetTest.java
@@ -103,7 +103,7 @@
             fleet.run(fleet.now + 5 * SECOND);
             zone.forEach(m -> m.dead = true);
             fleet.run(fleet.now + 3 * SECOND / 2);
-            List<Entry> gone = zone.stream().map(m -> m.entry.gone()).toList();
+            List<Entry> gone = zone.stream().map(m -> m.entry.in(State.GONE)).toList();
             fleet.every(node -> fleet.tell(node, new ListChanges(gone)));
             fleet.run(fleet.now + 4 * SECOND);
             long back = fleet.now;
--- a/src/test/java/loomreel/faktory/AdmissionTest.java
+++ b/src/test/java/loomreel/faktory/AdmissionTest.java
@@ -81,7 +81,7 @@
             }
             asked++;
             admission.opened("a");
-            admission.refused("a", 0, now);
+            admission.refused("a", now);
         }
         assertTrue(asked >= 5 && asked <= 12, "asked " + asked + " times in 10 s");
         assertEquals(1, (int) admission.window("a"));
@@ -99,7 +99,7 @@
         double before = admission.window("a");
         for (int i = 0; i < 10; i++) {
             admission.opened("a");
-            admission.refused("a", 0, 1000 * MS);
+            admission.refused("a", 1000 * MS);
         }
         assertEquals(before * 0.7, admission.window("a"), 1e-9);
     }
--- a/src/test/java/loomreel/faktory/JobBookTest.java
+++ b/src/test/java/loomreel/faktory/JobBookTest.java
@@ -77,7 +77,7 @@
         assertEquals(State.DEAD, job.state);
         assertEquals("ACK came late", job.evidence);
         assertThrows(IllegalStateException.class, () -> book.served(job, new byte[0], 3));
-        assertThrows(IllegalStateException.class, () -> book.refused(job, 3));
+        assertThrows(IllegalStateException.class, () -> book.refused(job, "no room", 3));
         assertTrue(book.push(spec("issue-1", "q", 5, 25, 0, Long.MAX_VALUE), new byte[1], 3).startsWith("NOTUNIQUE"));
         assertEquals(List.of(), order(1_000_000 * SECOND));
     }
@@ -112,7 +112,7 @@
     void aDeadlineBeforeTheNextTryEndsIt() {
         assertNull(book.push(spec("a", "q", 5, 25, 0, 10 * SECOND), new byte[1], 0));
         Job job = book.start("q", 1);
-        book.refused(job, 2);
+        book.failed(job, false, true, 2);
         assertEquals(State.EXPIRED, job.state);
         assertNull(book.push(spec("b", "q", 5, 25, 5 * SECOND, 6 * SECOND), new byte[1], 3));
         assertNull(book.push(spec("c", "q", 5, 25, 0, 6 * SECOND), new byte[1], 3));
@@ -172,7 +172,7 @@
                 Job job = active.remove(random.nextInt(active.size()));
                 switch (random.nextInt(3)) {
                     case 0 -> of.served(job, new byte[0], now);
-                    case 1 -> of.refused(job, now);
+                    case 1 -> of.refused(job, "no room", now);
                     default -> of.failed(job, random.nextBoolean(), random.nextBoolean(), now);
                 }
             }
--- a/src/test/java/loomreel/faktory/ProtocolTest.java
+++ b/src/test/java/loomreel/faktory/ProtocolTest.java
@@ -56,6 +56,7 @@
             	command: "256KiB"
             	backoff: "50ms"
             	may_mutate: true
+            	spool: "none"
             }
             """;
     private static DaemonProcess daemon;
--- a/src/test/java/loomreel/program/CommandsTest.java
+++ b/src/test/java/loomreel/program/CommandsTest.java
@@ -54,7 +54,7 @@
         }
         assertTrue(outcome(run(List.of(), "check", "deploy/loomreel.cue")).startsWith("0\n"));
         assertTrue(outcome(run(List.of(), "check", "nowhere.cue")).contains("there is no such file"));
-        String features = file("features.cue", "faktory: {listen: \"127.0.0.1:0\", queues: q: class: \"issue\"}\n");
+        String features = file("features.cue", "faktory: {listen: \"127.0.0.1:0\", queues: q: class: \"issue\", spool: \"none\"}\n");
         String outcome = outcome(run(List.of(), "serve", "--settings", features));
         assertTrue(outcome.startsWith("2\n") && outcome.contains("faktory.queues.q.class: no class is called issue"), outcome);
     }
@@ -85,7 +85,7 @@
     @Test
     void whatIsOffIsNotLoaded() throws Exception {
         assertEquals(List.of(), loaded(List.of("serve")));
-        String features = file("features.cue", "faktory: {listen: \"127.0.0.1:0\", queues: q: class: \"copy\"}\n");
+        String features = file("features.cue", "faktory: {listen: \"127.0.0.1:0\", queues: q: class: \"copy\", spool: \"none\"}\n");
         assertFalse(loaded(List.of("serve", "--settings", features)).isEmpty(), "the check itself sees them");
     }
 
