--- a/src/main/java/loomreel/faktory/Job.java
+++ b/src/main/java/loomreel/faktory/Job.java
@@ -13,7 +13,12 @@
 
     /** What is known of it from its payload; times are microseconds of Unix time. */
     record Spec(String jid, String queue, String type, int requestClass, int tenant, String key, double slots, double work,
-            int priority, int retry, long at, long deadline) { }
+            int priority, int retry, long at, long deadline) {
+        /** Of a job of which no more is known here than its jid. */
+        static Spec of(String jid) {
+            return new Spec(jid, "", "", 0, -1, null, 1, Double.NaN, 0, 0, 0, Long.MAX_VALUE);
+        }
+    }
 
     final Spec spec;
     /** The whole payload as it came; null once the job has ended other than as dead. */
--- a/src/main/java/loomreel/faktory/JobBook.java
+++ b/src/main/java/loomreel/faktory/JobBook.java
@@ -389,13 +389,14 @@
         new ArrayList<>(dead.values()).forEach(j -> discard(j, now));
     }
 
-    /** Takes back what another process kept, as it stood there. */
-    void restore(Job.Spec spec, byte[] payload, State state, long due, int failures, String reason, boolean mayHaveRun,
-            long now) {
+    /** Takes back what another process kept, as it stood there; {@code place} is its order of arrival. */
+    void restore(Job.Spec spec, byte[] payload, long place, State state, long due, int failures, String reason,
+            boolean mayHaveRun, long now) {
         if (find(spec.jid()) != null) {
             return;
         }
-        Job job = new Job(spec, payload, order++);
+        Job job = new Job(spec, payload, place);
+        order = Math.max(order, place + 1);
         live.put(spec.jid(), job);
         bytes += job.size();
         job.failures = failures;
@@ -416,7 +417,7 @@
         if (now - at >= limits.remember() || find(jid) != null) {
             return null;
         }
-        Job job = new Job(new Job.Spec(jid, "", "", 0, -1, null, 1, Double.NaN, 0, 0, 0, Long.MAX_VALUE), null, order++);
+        Job job = new Job(Job.Spec.of(jid), null, order++);
         job.state = state;
         job.updatedAt = at;
         ended.put(jid, job);
--- a/src/main/java/loomreel/faktory/JobLog.java
+++ b/src/main/java/loomreel/faktory/JobLog.java
@@ -2,11 +2,13 @@
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
-import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
@@ -44,7 +46,10 @@
 
     /** What the records of one jid come to. */
     private static final class Kept {
-        JsonNode payload;
+        /** Null where no more is known than how it ended. */
+        byte[] payload;
+        int segment;
+        int recorded;
         State state;
         long order;
         long due;
@@ -55,6 +60,17 @@
         /** It was given to a copy worker, or was being tried when the machine lost its power: nobody knows. */
         boolean out;
         boolean sameBoot;
+        /** What the payload says under these settings, or what they have against it. */
+        Job.Spec spec;
+        String fault;
+
+        void parse(Payloads payloads) {
+            try {
+                spec = payloads.known(Payloads.JSON.readTree(payload));
+            } catch (Payloads.BadPayloadException | IOException e) {
+                fault = e.getMessage();
+            }
+        }
     }
 
     private final Journal journal;
@@ -67,6 +83,7 @@
     private long wanted;
     private final JsonFactory json = new JsonFactory();
     private boolean dropping;
+    private boolean restoring;
 
     /**
      * One that has nothing in it.
@@ -88,82 +105,122 @@
      */
     int restore(JobBook book, Payloads payloads, Unusable unusable, long now) throws IOException {
         Map<String, Kept> all = new HashMap<>();
-        journal.open((sameBoot, content) -> read(all, sameBoot, content));
+        journal.open((segment, sameBoot, content) -> read(all, segment, sameBoot, content));
         List<Map.Entry<String, Kept>> inOrder = new ArrayList<>(all.entrySet());
         inOrder.sort(Comparator.comparingLong(e -> e.getValue().order));
+        // On all cores, as nothing else runs yet: it is most of what a start with a long backlog takes.
+        inOrder.parallelStream().filter(e -> e.getValue().payload != null).forEach(e -> e.getValue().parse(payloads));
         int count = 0;
         for (Map.Entry<String, Kept> one : inOrder) {
+            String jid = one.getKey();
             Kept kept = one.getValue();
             if (kept.payload == null) {
-                Job ended = book.remember(one.getKey(), kept.state, kept.at, now);
-                if (ended != null) {
-                    append(ended, false, false, false);
-                }
+                book.remember(jid, kept.state, kept.at, now);
                 continue;
             }
-            try {
-                Job.Spec spec = payloads.known(kept.payload);
-                settle(kept, classes.mayRepeat(spec.requestClass()));
-                book.restore(spec, Payloads.JSON.writeValueAsBytes(kept.payload), kept.state, kept.due, kept.failures,
-                        kept.reason, kept.mayHaveRun, now);
-                count++;
-            } catch (Payloads.BadPayloadException e) {
-                unusable.job(one.getKey(), e.getMessage());
+            if (kept.spec == null) {
+                unusable.job(jid, kept.fault);
+                // It stays as it is, for settings that know it.
+                adopt(setAside(jid, kept), kept);
+                continue;
             }
+            boolean settled = settle(kept, classes.mayRepeat(kept.spec.requestClass()));
+            restoring = true;
+            book.restore(kept.spec, kept.payload, kept.order, kept.state, kept.due, kept.failures, kept.reason,
+                    kept.mayHaveRun, now);
+            restoring = false;
+            Job job = book.find(jid);
+            adopt(job, kept);
+            if (settled || job.payload == null) {
+                append(job, false, false, false);
+            }
+            if (job.payload == null) {
+                forget(job);
+            }
+            count++;
         }
         journal.sync();
         return count;
     }
 
-    private static void read(Map<String, Kept> all, boolean sameBoot, byte[] content) {
-        JsonNode record;
-        try {
-            record = Payloads.JSON.readTree(content);
-        } catch (IOException e) {
-            throw new IllegalStateException("a record with a good checksum is no JSON", e);
-        }
-        String jid = record.path("jid").asText();
-        if (record.has("payload")) {
-            Kept kept = new Kept();
-            kept.payload = record.get("payload");
-            kept.order = record.path("order").asLong();
-            all.put(jid, kept);
-        }
-        State state = record.has("state") ? State.valueOf(record.get("state").asText()) : null;
-        Kept kept = all.get(jid);
-        if (kept == null) {
-            // Its whole record stood in a segment that is gone: it has ended, or follows whole.
-            if (state == null || !state.isFinal() || state == State.DEAD) {
-                return;
+    /** Its whole record stands where an earlier process wrote it. */
+    private void adopt(Job job, Kept kept) {
+        job.segment = kept.segment;
+        job.recorded = kept.recorded;
+        segments.computeIfAbsent(kept.segment, s -> new LinkedHashSet<>()).add(job);
+        wanted += kept.recorded;
+    }
+
+    private static Job setAside(String jid, Kept kept) {
+        Job job = new Job(Job.Spec.of(jid), kept.payload, kept.order);
+        job.state = kept.state;
+        job.due = kept.due;
+        job.failures = kept.failures;
+        job.mayHaveRun = kept.mayHaveRun;
+        job.reason = kept.reason;
+        job.updatedAt = kept.at;
+        job.out = kept.out || !kept.sameBoot;
+        return job;
+    }
+
+    private void read(Map<String, Kept> all, int segment, boolean sameBoot, byte[] content) throws IOException {
+        Kept next = new Kept();
+        next.segment = segment;
+        next.recorded = content.length;
+        next.sameBoot = sameBoot;
+        String jid = null;
+        boolean goesOut = false;
+        boolean dropped = false;
+        try (JsonParser from = json.createParser(content)) {
+            from.nextToken();
+            while (from.nextToken() == JsonToken.FIELD_NAME) {
+                String field = from.currentName();
+                from.nextToken();
+                switch (field) {
+                    case "jid" -> jid = from.getText();
+                    case "state" -> next.state = State.valueOf(from.getText());
+                    case "due" -> next.due = from.getLongValue();
+                    case "failures" -> next.failures = from.getIntValue();
+                    case "may_have_run" -> next.mayHaveRun = from.getBooleanValue();
+                    case "was_out" -> next.out = from.getBooleanValue();
+                    case "reason" -> next.reason = from.getText();
+                    case "at" -> next.at = from.getLongValue();
+                    case "order" -> next.order = from.getLongValue();
+                    case "out" -> goesOut = from.getBooleanValue();
+                    case "dropped" -> dropped = from.getBooleanValue();
+                    case "payload" -> {
+                        // The last field: all up to the brace that ends the record.
+                        int begin = (int) from.currentTokenLocation().getByteOffset();
+                        next.payload = Arrays.copyOfRange(content, begin, content.length - 1);
+                        from.skipChildren();
+                    }
+                    default -> from.skipChildren();
+                }
             }
-            kept = new Kept();
-            all.put(jid, kept);
         }
-        if (record.path("out").asBoolean()) {
-            kept.out = true;
-            return;
-        }
-        if (record.path("dropped").asBoolean()) {
+        Kept before = all.get(jid);
+        if (goesOut) {
+            if (before != null) {
+                before.out = true;
+            }
+        } else if (dropped) {
             all.remove(jid);
-            return;
-        }
-        kept.state = state;
-        kept.due = record.path("due").asLong();
-        kept.failures = record.path("failures").asInt();
-        kept.mayHaveRun = record.path("may_have_run").asBoolean();
-        kept.reason = record.path("reason").asText();
-        kept.at = record.path("at").asLong();
-        kept.out = record.path("was_out").asBoolean();
-        kept.sameBoot = sameBoot;
-        if (kept.state.isFinal() && kept.state != State.DEAD) {
-            kept.payload = null;
+        } else if (next.payload != null || next.state.isFinal() && next.state != State.DEAD) {
+            all.put(jid, next);
+        } else if (before != null && before.payload != null) {
+            next.payload = before.payload;
+            next.order = before.order;
+            next.segment = before.segment;
+            next.recorded = before.recorded;
+            all.put(jid, next);
         }
+        // Else its whole record stood in a segment that is gone: it has ended, or follows whole.
     }
 
-    /** What becomes of a job that was being tried. */
-    private static void settle(Kept kept, boolean mayRepeat) {
+    /** Decides what becomes of a job that was being tried; whether it was. */
+    private static boolean settle(Kept kept, boolean mayRepeat) {
         if (kept.state != State.ACTIVE) {
-            return;
+            return false;
         }
         // With the power, the record of its going out may be lost as well.
         boolean mayHaveRun = kept.mayHaveRun || kept.out || !kept.sameBoot;
@@ -175,6 +232,7 @@
             kept.state = State.ENQUEUED;
             kept.reason = ENDED;
         }
+        return true;
     }
 
     /** Why no further job can be kept, or null where one can. */
@@ -230,6 +288,9 @@
 
     @Override
     public void moved(Job job, State from) {
+        if (restoring) {
+            return;
+        }
         job.out &= job.state != State.ACTIVE;
         boolean wanted = job.payload != null;
         if (job.segment < 0) {
