--- a/src/test/java/loomreel/faktory/SpoolTest.java
+++ b/src/test/java/loomreel/faktory/SpoolTest.java
@@ -206,6 +206,27 @@
         }
     }
 
+    /** The worker was given a second and took longer: nobody knows whether it ran, and its late word changes nothing. */
+    @Test
+    void anAckAfterTheReservationIsAnsweredAndChangesNoEnd() throws Exception {
+        try (DaemonProcess daemon = daemon("");
+                FaktoryLink client = new FaktoryLink(daemon.faktory, null, null);
+                FaktoryLink worker = new FaktoryLink(daemon.faktory, null, "w1")) {
+            client.ok("PUSH " + job("slow-issue", "renewals").replace("}", ",\"reserve_for\":1}"));
+            JsonNode job = fetch(worker, "renewals");
+            while (!client.json("TRACK GET slow-issue").path("state").asText().equals("dead")) {
+                Thread.sleep(20);
+            }
+            ack(worker, job);
+            JsonNode now = client.json("TRACK GET slow-issue");
+            assertEquals("dead", now.path("state").asText());
+            assertTrue(now.path("may_have_run").asBoolean());
+            assertTrue(now.path("evidence").asText().contains("ACK from w1"), now.toString());
+            assertNull(worker.call("FETCH renewals"), "it is never handed out again");
+            assertEquals(143, daemon.stop());
+        }
+    }
+
     @Test
     void twoDaemonsDoNotShareASpool() throws Exception {
         try (DaemonProcess daemon = daemon("")) {
