Write each idea once: a worker's pace, records of the job log, looks, daemon threads

Read again after the fact; no behaviour changes.

- Book held time over work as three kinds of pairs; one Pace serves all jobs, each worker and each kind.
- JobLog.append took three flags of which at most one was set; each kind of record says its own fields now.
JobBook.remember returned what nobody used, drop() and the batch of a connection carried variables that were not needed.
- HttpSubchannel's look was a copy of its probe; Membership.Worker copied its limits field by field.
- Four copies of a daemon thread that ends with its connection are Background; MixedRun reached into MeasureJobs to remove a directory, both use Scratch.
ServeTest wrote OpsTest.allGoTo out three times; it stands in RealProgram.
FleetTest and JobLogTest made their machines, settings and shedding by hand each time.

--- a/src/main/java/loomreel/decision/Book.java
+++ b/src/main/java/loomreel/decision/Book.java
@@ -54,11 +54,10 @@
     double probeTime;
     /** Work sent, in slots times time. */
     final Fading workSent;
-    /** Time from send to end of the jobs served, and the work that they were said to be. */
-    private final Fading ran;
-    private final Fading asked;
-    /** The same for warm workers by kind. */
-    private final Map<String, Fading[]> kinds = new HashMap<>();
+    /** Of all jobs served. */
+    private final Pace pace;
+    /** Of those at warm workers, by kind. */
+    private final Map<String, Pace> kinds = new HashMap<>();
     /** What reports said that workers held, and how much of it was sent by this node. */
     private final Fading reportedHeld;
     private final Fading heldOwn;
@@ -76,8 +75,7 @@
         meanRun = settings.classes().stream().mapToDouble(RequestClass::target).toArray();
         probeTime = settings.tick() * 2;
         workSent = new Fading(memory);
-        ran = new Fading(memory);
-        asked = new Fading(memory);
+        pace = new Pace(memory);
         reportedHeld = new Fading(memory);
         heldOwn = new Fading(memory);
         tenants = settings.tenants().stream().map(t -> new Bucket()).toArray(Bucket[]::new);
@@ -133,15 +131,10 @@
         noteRun(a.request, run);
         double hint = a.request.arrival.work();
         if (!Double.isNaN(hint)) {
-            a.worker.ran.add(run, now);
-            a.worker.asked.add(hint, now);
-            ran.add(run, now);
-            asked.add(hint, now);
+            a.worker.pace.add(run, hint, now);
+            pace.add(run, hint, now);
             if (warmth(a.worker, a.sentAt) >= 1) {
-                Fading[] kind = kinds.computeIfAbsent(a.worker.entry.kind(),
-                        k -> new Fading[] {new Fading(memory), new Fading(memory)});
-                kind[0].add(run, now);
-                kind[1].add(hint, now);
+                kinds.computeIfAbsent(a.worker.entry.kind(), k -> new Pace(memory)).add(run, hint, now);
             }
         }
     }
@@ -151,9 +144,10 @@
      * is low rather than high: the time of a job holds what it waited and fetched.
      */
     double speed(String kind, double least, long now) {
-        Fading[] shown = kinds.get(kind);
+        Pace shown = kinds.get(kind);
         double enough = 12 * meanRunOfAll();
-        return shown == null || shown[1].at(now) < enough ? least : Math.max(least, shown[1].at(now) / shown[0].at(now));
+        return shown == null || shown.asked.at(now) < enough ? least
+                : Math.max(least, shown.asked.at(now) / shown.ran.at(now));
     }
 
     /**
@@ -162,13 +156,13 @@
      * job does: its answer may be lost, and one such job says little of the worker.
      */
     double slowness(Worker w, long now) {
-        if (asked.at(now) <= 0) {
+        if (pace.asked.at(now) <= 0) {
             return 1;
         }
-        double usual = ran.at(now) / asked.at(now);
+        double usual = pace.ran.at(now) / pace.asked.at(now);
         double known = 3 * meanRunOfAll();
-        double work = known + w.asked.at(now);
-        double time = known * usual + w.ran.at(now);
+        double work = known + w.pace.asked.at(now);
+        double time = known * usual + w.pace.ran.at(now);
         for (Attempt a : w.open) {
             double hint = a.request.arrival.work();
             long run = now - (a.startedAt < 0 ? a.sentAt : a.startedAt);
@@ -309,6 +303,22 @@
         }
     }
 
+    /** Time from send to end of jobs that were served, and the work that they were said to be. */
+    static final class Pace {
+        final Fading ran;
+        final Fading asked;
+
+        Pace(double memory) {
+            ran = new Fading(memory);
+            asked = new Fading(memory);
+        }
+
+        void add(double run, double hint, long now) {
+            ran.add(run, now);
+            asked.add(hint, now);
+        }
+    }
+
     /** A worker that the list has named. */
     static final class Worker {
         final String id;
@@ -336,8 +346,7 @@
         /** When the probe that is out was sent; -1 where none is. */
         long probedAt = -1;
         final Fading ownSince;
-        final Fading ran = new Fading(SLOW_MEMORY);
-        final Fading asked = new Fading(SLOW_MEMORY);
+        final Pace pace = new Pace(SLOW_MEMORY);
         final List<Request> probeWaiters = new ArrayList<>();
         final List<Attempt> open = new ArrayList<>();
 
--- a/src/main/java/loomreel/faktory/FaktoryConnection.java
+++ b/src/main/java/loomreel/faktory/FaktoryConnection.java
@@ -48,6 +48,8 @@
     private List<String> fetching;
     private EventLoop.Timer fetchWait;
     private boolean inBatch;
+    /** Whether one of the jobs taken from it must outlive the machine's power. */
+    private boolean batchIsSynced;
     /** What has been pushed waits for the disk. */
     private boolean keeping;
     /** All bytes that were ever to be written here. */
@@ -220,7 +222,8 @@
                     if (json.nextToken() != null) {
                         throw new IOException("more behind the array");
                     }
-                    push(jobs, 0, Payloads.JSON.createObjectNode(), false);
+                    batchIsSynced = false;
+                    push(jobs, 0, Payloads.JSON.createObjectNode());
                     return;
                 }
                 jobs.add(ONE_OF_MANY.readTree(json));
@@ -231,12 +234,11 @@
         }
     }
 
-    private void push(List<JsonNode> jobs, int from, ObjectNode refused, boolean syncedSoFar) {
-        boolean isSynced = syncedSoFar;
+    private void push(List<JsonNode> jobs, int from, ObjectNode refused) {
         int to = Math.min(jobs.size(), from + BATCH_AT_ONCE);
         for (int i = from; i < to; i++) {
             FaktoryFront.Pushed pushed = front.push(jobs.get(i));
-            isSynced |= pushed.isSynced();
+            batchIsSynced |= pushed.isSynced();
             String reason = pushed.error();
             if (reason != null) {
                 String jid = jobs.get(i).path("jid").asText("");
@@ -245,11 +247,10 @@
             // What is taken need not be held twice.
             jobs.set(i, null);
         }
-        boolean synced = isSynced;
         if (to < jobs.size()) {
-            loop.at(loop.now(), () -> push(jobs, to, refused, synced));
+            loop.at(loop.now(), () -> push(jobs, to, refused));
         } else {
-            front.whenKept(synced, () -> batchDone(null, refused));
+            front.whenKept(batchIsSynced, () -> batchDone(null, refused));
         }
     }
 
--- a/src/main/java/loomreel/faktory/FaktoryFront.java
+++ b/src/main/java/loomreel/faktory/FaktoryFront.java
@@ -621,7 +621,9 @@
 
     /** What has been noted outlives the process from here on. */
     void noted() {
-        whenKept(false, () -> { });
+        if (kept != null) {
+            kept.write();
+        }
     }
 
     /** Without a place to keep it, what is enqueued is served first. */
--- a/src/main/java/loomreel/faktory/JobBook.java
+++ b/src/main/java/loomreel/faktory/JobBook.java
@@ -408,20 +408,15 @@
         move(job, state, reason, now);
     }
 
-    /**
-     * Knows a jid that has ended in an earlier process, for as long as if it had here.
-     *
-     * @return the job, or null where it ended too long ago
-     */
-    Job remember(String jid, State state, long at, long now) {
+    /** Knows a jid that has ended in an earlier process, for as long as if it had here. */
+    void remember(String jid, State state, long at, long now) {
         if (now - at >= limits.remember() || find(jid) != null) {
-            return null;
+            return;
         }
         Job job = new Job(Job.Spec.of(jid), null, order++);
         job.state = state;
         job.updatedAt = at;
         ended.put(jid, job);
-        return job;
     }
 
     int size(State state) {
--- a/src/main/java/loomreel/faktory/JobLog.java
+++ b/src/main/java/loomreel/faktory/JobLog.java
@@ -132,7 +132,7 @@
             Job job = book.find(jid);
             adopt(job, kept);
             if (settled || job.payload == null) {
-                append(job, false, false, false);
+                changed(job);
             }
             if (job.payload == null) {
                 forget(job);
@@ -274,7 +274,7 @@
     boolean out(Job job) {
         if (!job.out && !classes.mayRepeat(job.spec.requestClass())) {
             job.out = true;
-            append(job, false, true, false);
+            journal.append(record(job, to -> to.writeBooleanField("out", true)));
             journal.write();
             return journal.fault() == null;
         }
@@ -292,16 +292,15 @@
             return;
         }
         job.out &= job.state != State.ACTIVE;
-        boolean wanted = job.payload != null;
         if (job.segment < 0) {
-            if (wanted) {
+            if (job.payload != null) {
                 whole(job);
             }
-        } else if (!wanted) {
-            append(job, false, false, false);
+        } else if (job.payload == null) {
+            changed(job);
             forget(job);
         } else if (!goesWithoutSaying(job, from)) {
-            append(job, false, false, false);
+            changed(job);
         }
     }
 
@@ -317,7 +316,7 @@
     @Override
     public void dropped(Job job) {
         if (job.segment >= 0) {
-            append(job, false, false, true);
+            journal.append(record(job, to -> to.writeBooleanField("dropped", true)));
             forget(job);
         }
     }
@@ -331,43 +330,49 @@
     }
 
     private void whole(Job job) {
-        int segment = append(job, true, false, false);
-        job.segment = segment;
-        segments.computeIfAbsent(segment, s -> new LinkedHashSet<>()).add(job);
+        byte[] content = record(job, to -> {
+            state(to, job);
+            to.writeNumberField("order", job.order);
+            // Last, as reading it back relies on.
+            to.writeFieldName("payload");
+            to.writeRawValue(new String(job.payload, StandardCharsets.UTF_8));
+        });
+        job.segment = journal.append(content);
+        job.recorded = content.length;
+        segments.computeIfAbsent(job.segment, s -> new LinkedHashSet<>()).add(job);
         wanted += job.recorded;
     }
 
-    private int append(Job job, boolean whole, boolean out, boolean dropped) {
-        ByteArrayOutputStream content = new ByteArrayOutputStream(128 + (whole ? job.size() : 0));
+    private void changed(Job job) {
+        journal.append(record(job, to -> state(to, job)));
+    }
+
+    private static void state(JsonGenerator to, Job job) throws IOException {
+        to.writeStringField("state", job.state.name());
+        to.writeNumberField("due", job.due);
+        to.writeNumberField("failures", job.failures);
+        to.writeBooleanField("may_have_run", job.mayHaveRun);
+        to.writeBooleanField("was_out", job.state == State.ACTIVE && job.out);
+        to.writeStringField("reason", job.reason);
+        to.writeNumberField("at", job.updatedAt);
+    }
+
+    /** What a record says beside the jid. */
+    private interface Fields {
+        void write(JsonGenerator to) throws IOException;
+    }
+
+    private byte[] record(Job job, Fields fields) {
+        ByteArrayOutputStream content = new ByteArrayOutputStream(512);
         try (JsonGenerator to = json.createGenerator(content)) {
             to.writeStartObject();
             to.writeStringField("jid", job.spec.jid());
-            if (out) {
-                to.writeBooleanField("out", true);
-            } else if (dropped) {
-                to.writeBooleanField("dropped", true);
-            } else {
-                to.writeStringField("state", job.state.name());
-                to.writeNumberField("due", job.due);
-                to.writeNumberField("failures", job.failures);
-                to.writeBooleanField("may_have_run", job.mayHaveRun);
-                to.writeBooleanField("was_out", job.state == State.ACTIVE && job.out);
-                to.writeStringField("reason", job.reason);
-                to.writeNumberField("at", job.updatedAt);
-            }
-            if (whole) {
-                to.writeNumberField("order", job.order);
-                to.writeFieldName("payload");
-                to.writeRawValue(new String(job.payload, StandardCharsets.UTF_8));
-            }
+            fields.write(to);
             to.writeEndObject();
         } catch (IOException e) {
             throw new IllegalStateException("memory does not fail", e);
         }
-        if (whole) {
-            job.recorded = content.size();
-        }
-        return journal.append(content.toByteArray());
+        return content.toByteArray();
     }
 
     /**
@@ -381,8 +386,8 @@
         if (dropping || segment == journal.current()) {
             return false;
         }
-        LinkedHashSet<Job> there = segments.getOrDefault(segment, new LinkedHashSet<>());
-        if (there.isEmpty()) {
+        LinkedHashSet<Job> there = segments.get(segment);
+        if (there == null || there.isEmpty()) {
             drop();
             return false;
         }
@@ -398,14 +403,8 @@
 
     /** Removes the oldest segments of which nothing is wanted, once what was written since is safe on the disk. */
     private void drop() {
-        int first = journal.current();
-        for (Map.Entry<Integer, LinkedHashSet<Job>> e : segments.entrySet()) {
-            if (!e.getValue().isEmpty()) {
-                first = Math.min(first, e.getKey());
-                break;
-            }
-        }
-        int firstWanted = first;
+        int firstWanted = segments.entrySet().stream().filter(e -> !e.getValue().isEmpty()).mapToInt(Map.Entry::getKey)
+                .findFirst().orElse(journal.current());
         dropping = true;
         journal.whenSynced(() -> {
             dropping = false;
--- a/src/main/java/loomreel/faktory/Membership.java
+++ b/src/main/java/loomreel/faktory/Membership.java
@@ -32,8 +32,7 @@
         final Hello hello;
         /** What its labels say, or 0: then it is learned from what it takes. */
         private final int labelled;
-        private final int first;
-        private final long learnWithin;
+        private final Limits limits;
         private long learnedFrom;
         private int most;
         private int mostBefore;
@@ -53,8 +52,7 @@
             this.wid = wid;
             this.hello = hello;
             labelled = hello.slots(0);
-            first = limits.slots();
-            learnWithin = limits.learnWithin();
+            this.limits = limits;
             startedAt = limits.isCold() ? now : 0;
             beatAt = now;
         }
@@ -69,13 +67,13 @@
             if (labelled > 0) {
                 return labelled;
             }
-            if (now - learnedFrom >= learnWithin) {
-                mostBefore = now - learnedFrom >= 2 * learnWithin ? 0 : most;
+            if (now - learnedFrom >= limits.learnWithin()) {
+                mostBefore = now - learnedFrom >= 2 * limits.learnWithin() ? 0 : most;
                 most = 0;
                 learnedFrom = now;
             }
             most = Math.max(most, asking + running);
-            return Math.max(Math.max(most, mostBefore), first);
+            return Math.max(Math.max(most, mostBefore), limits.slots());
         }
 
         /** One FETCH more, or fewer, waits. */
--- a/src/main/java/loomreel/standin/Measure.java
+++ b/src/main/java/loomreel/standin/Measure.java
@@ -248,35 +248,23 @@
             for (int i = 0; i < WORKER_SLOTS; i++) {
                 FaktoryLink link = new FaktoryLink(server, null, "measured", "slots=" + WORKER_SLOTS, "kind=faktory");
                 links.add(link);
-                Thread thread = new Thread(() -> {
-                    try {
-                        while (true) {
-                            if (link.call("FETCH copies") instanceof String job) {
-                                int at = job.indexOf("\"jid\":\"") + 7;
-                                link.ok("ACK {\"jid\":\"" + job.substring(at, job.indexOf('"', at)) + "\"}");
-                            }
+                Background.run(() -> {
+                    while (true) {
+                        if (link.call("FETCH copies") instanceof String job) {
+                            int at = job.indexOf("\"jid\":\"") + 7;
+                            link.ok("ACK {\"jid\":\"" + job.substring(at, job.indexOf('"', at)) + "\"}");
                         }
-                    } catch (IOException e) {
-                        // It is over.
                     }
                 });
-                thread.setDaemon(true);
-                thread.start();
             }
             FaktoryLink beat = new FaktoryLink(server, null, "measured", "slots=" + WORKER_SLOTS, "kind=faktory");
             links.add(beat);
-            Thread thread = new Thread(() -> {
-                try {
-                    while (true) {
-                        beat.ok("BEAT {\"wid\":\"measured\"}");
-                        Thread.sleep(5000);
-                    }
-                } catch (IOException | InterruptedException e) {
-                    // It is over.
+            Background.run(() -> {
+                while (true) {
+                    beat.ok("BEAT {\"wid\":\"measured\"}");
+                    Thread.sleep(5000);
                 }
             });
-            thread.setDaemon(true);
-            thread.start();
         }
 
         void close() throws IOException {
--- a/src/main/java/loomreel/standin/MeasureJobs.java
+++ b/src/main/java/loomreel/standin/MeasureJobs.java
@@ -9,7 +9,6 @@
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
@@ -17,7 +16,6 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
-import java.util.stream.Stream;
 import org.HdrHistogram.Histogram;
 
 /**
@@ -34,7 +32,6 @@
     private final int jobs;
     private final int waiting;
     private final AtomicLong numbers = new AtomicLong(1_000_000_000L);
-    private final Path spool;
 
     /**
      * Prints there.
@@ -42,19 +39,18 @@
      * @param jobs in each measurement
      * @param waiting when the daemon is started again
      */
-    public MeasureJobs(PrintStream out, int jobs, int waiting) throws IOException {
+    public MeasureJobs(PrintStream out, int jobs, int waiting) {
         this.out = out;
         this.jobs = jobs;
         this.waiting = waiting;
-        spool = Files.createTempDirectory("loomreel-measure");
     }
 
     /** Measures all of it. */
     public void run() throws IOException, InterruptedException {
         Stamps stamps = new Stamps();
         AtomicReference<InetSocketAddress> news = new AtomicReference<>();
-        try (HttpWorker http = new HttpWorker("w0", news::get, HTTP_SLOTS, 0, stamps)) {
-            String settings = settings(http.address());
+        try (Scratch spool = new Scratch(); HttpWorker http = new HttpWorker("w0", news::get, HTTP_SLOTS, 0, stamps)) {
+            String settings = settings(http.address(), spool.path);
             try (DaemonProcess daemon = new DaemonProcess(DaemonProcess.settings(settings), "-Xmx1g")) {
                 news.set(daemon.http);
                 out.println("fetches  class               jobs/s   p50 ms   p99 ms   HTTP jobs/s   ratio");
@@ -68,10 +64,8 @@
                 fill(daemon);
                 daemon.kill();
             }
-            syncs();
+            syncs(spool.path.resolve("raw"));
             restart(settings);
-        } finally {
-            delete(spool);
         }
     }
 
@@ -83,7 +77,7 @@
                 http.perSecond(), faktory.perSecond() / http.perSecond());
     }
 
-    private String settings(String http) {
+    private static String settings(String http, Path spool) {
         return """
                 name: "measured"
                 listen: {http: "127.0.0.1:0", operators: "127.0.0.1:0"}
@@ -114,7 +108,7 @@
         for (int i = 0; i < fetches; i++) {
             FaktoryLink link = new FaktoryLink(daemon.faktory, null, wid, "kind=faktory");
             links.add(link);
-            thread(() -> {
+            Background.run(() -> {
                 while (done.getCount() > 0) {
                     if (link.call("FETCH " + queue) instanceof String job) {
                         link.ok("ACK {\"jid\":\"" + after(job, "\"jid\":\"") + "\"}");
@@ -132,7 +126,7 @@
         // As many as the worker takes at a time: a queue that only grows would be all that is measured.
         int clients = Math.min(CLIENTS, fetches);
         for (int i = 0; i < clients; i++) {
-            thread(() -> {
+            Background.run(() -> {
                 try (FaktoryLink link = new FaktoryLink(daemon.faktory, null, null)) {
                     while (left.getAndDecrement() > 0) {
                         String jid = "m-" + numbers.incrementAndGet();
@@ -165,7 +159,7 @@
         CountDownLatch done = new CountDownLatch(connections);
         long from = System.nanoTime();
         for (int i = 0; i < connections; i++) {
-            thread(() -> {
+            Background.run(() -> {
                 try (HttpLink link = new HttpLink(daemon.http)) {
                     while (left.getAndDecrement() > 0) {
                         long asked = System.nanoTime();
@@ -214,9 +208,8 @@
     }
 
     /** What the disk itself takes for a record and an fsync, one after another. */
-    private void syncs() throws IOException {
+    private void syncs(Path file) throws IOException {
         Histogram took = new Histogram(3);
-        Path file = spool.resolve("raw");
         try (FileChannel raw = FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.WRITE)) {
             for (int i = 0; i < SYNCS; i++) {
                 long from = System.nanoTime();
@@ -228,28 +221,4 @@
         out.printf("the disk's own write and fsync of 300 bytes: p50 %.2f ms, p99 %.2f ms, %.0f a second%n",
                 took.getValueAtPercentile(50) / 1e3, took.getValueAtPercentile(99) / 1e3, 1e6 / took.getMean());
     }
-
-    private interface Work {
-        void run() throws IOException;
-    }
-
-    private static void thread(Work work) {
-        Thread thread = new Thread(() -> {
-            try {
-                work.run();
-            } catch (IOException e) {
-                // A worker's connections are closed when all is measured.
-            }
-        });
-        thread.setDaemon(true);
-        thread.start();
-    }
-
-    static void delete(Path directory) throws IOException {
-        try (Stream<Path> files = Files.walk(directory)) {
-            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
-                Files.delete(file);
-            }
-        }
-    }
 }
--- a/src/main/java/loomreel/standin/MixedRun.java
+++ b/src/main/java/loomreel/standin/MixedRun.java
@@ -10,7 +10,6 @@
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -145,10 +144,15 @@
      * @throws IOException if the daemon cannot be started
      */
     public Result run(PrintStream progress) throws IOException, InterruptedException {
+        try (Scratch spool = new Scratch()) {
+            return run(progress, spool.path);
+        }
+    }
+
+    private Result run(PrintStream progress, Path spool) throws IOException, InterruptedException {
         for (int i = 0; i < WORKERS; i++) {
             httpWorkers.add(new HttpWorker("w" + i, news::get, SLOTS, WORK_MS, stamps));
         }
-        Path spool = Files.createTempDirectory("loomreel-mixed");
         daemon = new DaemonProcess(DaemonProcess.settings(settings(spool)));
         try {
             news.set(daemon.http);
@@ -186,7 +190,6 @@
             daemon.close();
             all.forEach(FaktoryWorker::close);
             httpWorkers.forEach(HttpWorker::close);
-            MeasureJobs.delete(spool);
         }
         return new Result(plain(ends), plain(troubles), servedBy(), List.copyOf(broken));
     }
--- a/src/main/java/loomreel/web/HttpSubchannel.java
+++ b/src/main/java/loomreel/web/HttpSubchannel.java
@@ -148,10 +148,10 @@
     @Override
     public void probe() {
         long sentAt = dispatcher.loop.now();
-        peer.call(request("GET", "/stats", 0), new Errand() {
+        peer.call(request("GET", "/stats", 0), new Look() {
             @Override
             public void answered(Message message) {
-                signs.answered();
+                super.answered(message);
                 String header = message.header("x-load-report");
                 boolean well = message.status() == 200;
                 String load = header != null ? header : new String(message.body().toArray(), StandardCharsets.UTF_8);
@@ -160,7 +160,7 @@
 
             @Override
             public void broken(Outcome outcome) {
-                told(outcome);
+                super.broken(outcome);
                 dispatcher.probed(entry.id(), outcome, sentAt, null);
             }
         });
@@ -168,17 +168,7 @@
 
     /** Looks whether it is there, and tells nobody but who hears of its signs. */
     void look() {
-        peer.call(request("GET", "/stats", 0), new Errand() {
-            @Override
-            public void answered(Message message) {
-                signs.answered();
-            }
-
-            @Override
-            public void broken(Outcome outcome) {
-                told(outcome);
-            }
-        });
+        peer.call(request("GET", "/stats", 0), new Look());
     }
 
     /** A reset comes from a machine that is there. */
@@ -215,4 +205,17 @@
         @Override
         public void broken(Outcome outcome) { }
     }
+
+    /** A call whose answer, or silence, says whether it is there. */
+    private class Look extends Errand {
+        @Override
+        public void answered(Message message) {
+            signs.answered();
+        }
+
+        @Override
+        public void broken(Outcome outcome) {
+            told(outcome);
+        }
+    }
 }
--- a/src/test/java/loomreel/decision/FleetTest.java
+++ b/src/test/java/loomreel/decision/FleetTest.java
@@ -5,6 +5,8 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import loomreel.decision.Fleet.Machine;
 import loomreel.decision.Model.*;
 import org.junit.jupiter.api.Test;
@@ -25,6 +27,11 @@
         return m;
     }
 
+    /** So many machines from a number on, all started at one time. */
+    private static List<Machine> machines(Fleet fleet, int first, int count, long startedAt) {
+        return IntStream.range(first, first + count).mapToObj(i -> machine(fleet, i, startedAt)).toList();
+    }
+
     private static List<Entry> entries(List<Machine> machines) {
         return machines.stream().map(m -> m.entry).toList();
     }
@@ -49,20 +56,16 @@
     void coldWorkersOfAReplacedFleetAreUsedFromTheFirstSecondAndNotPushedOver() {
         for (long seed = 1; seed <= 4; seed++) {
             Fleet fleet = new Fleet(SETTINGS, seed);
-            List<Machine> old = new ArrayList<>();
-            for (int i = 0; i < 20; i++) {
-                old.add(machine(fleet, i, 0));
-            }
+            List<Machine> old = machines(fleet, 0, 20, 0);
             fleet.start(NODES, entries(old));
             // Six tenths of what the slots are good for.
             fleet.load(0.6 * 20 * 4 / 0.25 / NODES, 150, SECOND / 4.0, fleet.now + 18 * SECOND);
             fleet.run(fleet.now + 8 * SECOND);
-            List<Machine> cold = new ArrayList<>();
+            List<Machine> cold = machines(fleet, 20, 12, fleet.now);
             List<Entry> changes = new ArrayList<>();
             for (int i = 0; i < 12; i++) {
                 old.get(i).refuses = true;
                 changes.add(Fixture.worker(i, State.DRAINING, 0));
-                cold.add(machine(fleet, 20 + i, fleet.now));
             }
             changes.addAll(entries(cold));
             fleet.every(node -> fleet.tell(node, new ListChanges(changes)));
@@ -92,10 +95,7 @@
     void aZoneThatFallsSilentAndComesBackColdCostsNoRequestAndIsNotPushedOver() {
         for (long seed = 1; seed <= 3; seed++) {
             Fleet fleet = new Fleet(SETTINGS, seed);
-            List<Machine> all = new ArrayList<>();
-            for (int i = 0; i < 21; i++) {
-                all.add(machine(fleet, i, 0));
-            }
+            List<Machine> all = machines(fleet, 0, 21, 0);
             List<Machine> zone = all.subList(0, 7);
             fleet.start(NODES, entries(all));
             long end = fleet.now + 21 * SECOND;
@@ -107,10 +107,7 @@
             fleet.every(node -> fleet.tell(node, new ListChanges(gone)));
             fleet.run(fleet.now + 4 * SECOND);
             long back = fleet.now;
-            List<Machine> cold = new ArrayList<>();
-            for (int i = 0; i < zone.size(); i++) {
-                cold.add(machine(fleet, i, back));
-            }
+            List<Machine> cold = machines(fleet, 0, zone.size(), back);
             fleet.every(node -> fleet.tell(node, new ListChanges(entries(cold))));
             fleet.run(end + 6 * SECOND);
             assertEquals(0, fleet.open(), "every request has its answer");
@@ -128,10 +125,7 @@
             Settings s = SETTINGS;
             Fleet fleet = new Fleet(new Settings(NODES, s.zone(), s.classes(), List.of(new Tenant("t", 300)), s.rules(),
                     s.limits(), true, true, s.reporting(), false, s.tick()), seed);
-            List<Machine> all = new ArrayList<>();
-            for (int i = 0; i < 20; i++) {
-                all.add(machine(fleet, i, 0));
-            }
+            List<Machine> all = machines(fleet, 0, 20, 0);
             fleet.start(NODES, entries(all));
             double part = 240.0 / (NODES - 2 + 2 * 4);
             long end = fleet.now + 15 * SECOND;
@@ -149,15 +143,13 @@
     @Test
     void noNodeAsksAWorkerThatItWouldNotSendTo() {
         Fleet fleet = new Fleet(SETTINGS, 5);
-        List<Machine> all = new ArrayList<>();
-        for (int i = 0; i < 10; i++) {
-            all.add(machine(fleet, i, i < 5 ? 0 : fleet.now));
-        }
-        fleet.start(NODES, entries(all));
+        List<Machine> warmOnes = machines(fleet, 0, 5, 0);
+        List<Machine> coldOnes = machines(fleet, 5, 5, fleet.now);
+        fleet.start(NODES, Stream.of(warmOnes, coldOnes).flatMap(m -> entries(m).stream()).toList());
         fleet.load(5, 50, SECOND / 4.0, fleet.now + 10 * SECOND);
         fleet.run(fleet.now + 10 * SECOND);
-        long warm = all.stream().limit(5).mapToLong(m -> m.probes.size()).sum();
-        long cold = all.stream().skip(5).mapToLong(m -> m.probes.size()).sum();
+        long warm = warmOnes.stream().mapToLong(m -> m.probes.size()).sum();
+        long cold = coldOnes.stream().mapToLong(m -> m.probes.size()).sum();
         assertTrue(cold * 2 < warm, cold + " probes of cold ones, " + warm + " of warm ones");
         assertTrue(cold > 0, "the cold ones are used");
     }
--- a/src/test/java/loomreel/faktory/JobLogTest.java
+++ b/src/test/java/loomreel/faktory/JobLogTest.java
@@ -46,10 +46,7 @@
             return requestClass != FREE;
         }
     };
-    private final FaktorySettings settings = new FaktorySettings(null, null, 1, null,
-            Map.of("free", new FaktorySettings.Queue("copy", 1, null), "single", new FaktorySettings.Queue("issue", 1, null)),
-            Map.of(), 0.5, null, 1, null, 25, null, null, 0, false, "", null, Map.of());
-    private final Payloads payloads = new Payloads(settings, Map.of("copy", FREE, "issue", SINGLE), Map.of());
+    private final Payloads payloads = payloads(Map.of("free", "copy", "single", "issue"));
     private final List<String> unusable = new ArrayList<>();
     private final BlockingQueue<Runnable> loop = new LinkedBlockingQueue<>();
     @TempDir
@@ -59,6 +56,23 @@
     private JobLog log;
     private int segmentBytes = 1 << 20;
 
+    /** What settings with these queues, each of a class, make of a payload. */
+    private static Payloads payloads(Map<String, String> classes) {
+        Map<String, FaktorySettings.Queue> queues = new HashMap<>();
+        classes.forEach((queue, name) -> queues.put(queue, new FaktorySettings.Queue(name, 1, null)));
+        return new Payloads(new FaktorySettings(null, null, 1, null, queues, Map.of(), 0.5, null, 1, null, 25, null, null, 0,
+                false, "", null, Map.of()), Map.of("copy", FREE, "issue", SINGLE), Map.of());
+    }
+
+    /** Has all that can be shed go, and waits for the disk as often as that takes. */
+    private void shedAll(JobLog of) throws InterruptedException {
+        while (of.shed() || of.isDropping()) {
+            if (of.isDropping()) {
+                loop.take().run();
+            }
+        }
+    }
+
     @BeforeEach
     void open() throws IOException {
         book = new JobBook(new JobBook.Limits(1000, 1 << 20, SECOND, 600 * SECOND, 1000), new SplittableRandom(1));
@@ -172,19 +186,12 @@
         assertTrue(log.out(tried("b", "single")));
         log.write();
         log.close();
-        FaktorySettings others = new FaktorySettings(null, null, 1, null,
-                Map.of("single", new FaktorySettings.Queue("issue", 1, null)), Map.of(), 0.5, null, 1, null, 25, null, null, 0,
-                false, "", null, Map.of());
         JobBook next = new JobBook(new JobBook.Limits(10, 1000, SECOND, SECOND, 10), new SplittableRandom(1));
         JobLog reader = new JobLog(new Journal(directory, segmentBytes, loop::add), CLASSES, segmentBytes, 1 << 20);
-        assertEquals(1, reader.restore(next, new Payloads(others, Map.of("issue", SINGLE), Map.of()),
+        assertEquals(1, reader.restore(next, payloads(Map.of("single", "issue")),
                 (jid, why) -> unusable.add(jid + ": " + why), now));
         assertEquals(List.of("a: no queue is called free"), unusable);
-        while (reader.shed() || reader.isDropping()) {
-            if (reader.isDropping()) {
-                loop.take().run();
-            }
-        }
+        shedAll(reader);
         reader.close();
         open();
         assertEquals(State.ENQUEUED, book.find("a").state);
@@ -262,11 +269,7 @@
             }
         }
         // What was ever written is many times that: without shedding it would all still be there.
-        while (log.shed() || log.isDropping()) {
-            if (log.isDropping()) {
-                loop.take().run();
-            }
-        }
+        shedAll(log);
         log.write();
         try (Stream<Path> files = Files.list(directory)) {
             long bytes = files.mapToLong(f -> f.toFile().length()).sum();
--- a/src/test/java/loomreel/faktory/SpoolTest.java
+++ b/src/test/java/loomreel/faktory/SpoolTest.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import loomreel.standin.Background;
 import loomreel.standin.DaemonProcess;
 import loomreel.standin.FaktoryLink;
 import org.junit.jupiter.api.Test;
@@ -94,7 +95,7 @@
             CountDownLatch done = new CountDownLatch(200);
             Set<String> seen = ConcurrentHashMap.newKeySet();
             for (int i = 0; i < 10; i++) {
-                Thread thread = new Thread(() -> {
+                Background.run(() -> {
                     try (FaktoryLink link = new FaktoryLink(daemon.faktory, null, "library")) {
                         while (done.getCount() > 0) {
                             JsonNode job = fetch(link, "copies");
@@ -104,12 +105,8 @@
                             ack(link, job);
                             done.countDown();
                         }
-                    } catch (IOException | InterruptedException e) {
-                        // It is over.
                     }
                 });
-                thread.setDaemon(true);
-                thread.start();
             }
             assertTrue(done.await(100, TimeUnit.SECONDS), done.getCount() + " jobs are left");
             assertEquals(200, seen.size());
--- a/src/test/java/loomreel/program/Http.java
+++ b/src/test/java/loomreel/program/Http.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import loomreel.standin.Background;
 
 /** Plain blocking HTTP for tests: what clients, copy workers and discovery say and hear. */
 final class Http {
@@ -69,11 +70,11 @@
         private final BlockingQueue<Socket> ended = new LinkedBlockingQueue<>();
 
         Peer() throws IOException {
-            daemon(() -> {
+            Background.run(() -> {
                 while (true) {
                     Socket socket = listener.accept();
                     connections.incrementAndGet();
-                    daemon(() -> {
+                    Background.run(() -> {
                         for (Message m = read(socket); m != null; m = read(socket)) {
                             requests.add(m);
                         }
@@ -83,22 +84,6 @@
             });
         }
 
-        private interface Work {
-            void run() throws IOException;
-        }
-
-        private static void daemon(Work work) {
-            Thread thread = new Thread(() -> {
-                try {
-                    work.run();
-                } catch (IOException e) {
-                    // The other side or the test has closed the socket.
-                }
-            });
-            thread.setDaemon(true);
-            thread.start();
-        }
-
         String address() {
             return "127.0.0.1:" + listener.getLocalPort();
         }
--- a/src/test/java/loomreel/program/OpsTest.java
+++ b/src/test/java/loomreel/program/OpsTest.java
@@ -1,7 +1,6 @@
 package loomreel.program;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -127,24 +126,15 @@
             program.discovery.next().answer(200, program.list(43, false, "DELETED", "SERVING"));
             program.discovery.next().answer(200, program.list(44, false, "SERVING"));
             program.discovery.next();
-            allGoTo(program, 1, 8);
+            program.allGoTo(1, 8);
             assertEquals(200, program.operate(0, "POST", "copy-workers/up", "w0").status());
             assertEquals(0, program.figure(0, "hosts_down"));
             assertEquals(200, program.operate(0, "POST", "copy-workers/down", "w1").status());
             // Cold, but one may go there at once.
-            allGoTo(program, 0, 1);
+            program.allGoTo(0, 1);
         }
     }
 
-    private static void allGoTo(RealProgram program, int worker, int jobs) throws Exception {
-        for (int i = 0; i < jobs; i++) {
-            RealProgram.Job job = program.job("/copy", "");
-            program.serve(worker, "r");
-            assertEquals("r", job.answer().body());
-        }
-        assertFalse(program.workers.get(1 - worker).wasAsked());
-    }
-
     /**
      * The new process takes clients over while the old one ends what it has. Call-backs reach either of the two, and
      * what operators have said holds for both, and for the one that comes after them.
--- a/src/test/java/loomreel/program/RealProgram.java
+++ b/src/test/java/loomreel/program/RealProgram.java
@@ -1,6 +1,7 @@
 package loomreel.program;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.BufferedReader;
@@ -243,6 +244,16 @@
         assertEquals(200, news(post.header("X-Call-Id"), "w" + worker, "done", ",\"result\":\"" + result + "\""));
     }
 
+    /** Has so many jobs served, all of them by this one of two copy workers. */
+    void allGoTo(int worker, int jobs) throws Exception {
+        for (int i = 0; i < jobs; i++) {
+            Job job = job("/copy", "");
+            serve(worker, "r");
+            assertEquals("r", job.answer().body());
+        }
+        assertFalse(workers.get(1 - worker).wasAsked());
+    }
+
     @Override
     public void close() throws IOException {
         if (started.isEmpty()) {
--- a/src/test/java/loomreel/program/ServeTest.java
+++ b/src/test/java/loomreel/program/ServeTest.java
@@ -296,12 +296,7 @@
             Http.Message next = program.discovery.next();
             assertTrue(next.first().contains("from=43&"), next.first());
             assertSame(watch.from(), next.from());
-            for (int i = 0; i < 8; i++) {
-                RealProgram.Job job = program.job("/copy", "");
-                program.serve(1, "kept");
-                assertEquals("kept", job.answer().body());
-            }
-            assertFalse(program.workers.get(0).wasAsked());
+            program.allGoTo(1, 8);
         }
     }
 
@@ -313,12 +308,7 @@
             String first = serving.substring(serving.indexOf('[') + 1, serving.lastIndexOf(']'));
             program.discovery.next().answer(200, draining.replace("[", "[" + first + ","));
             assertTrue(program.discovery.next().first().contains("from=43&"));
-            for (int i = 0; i < 8; i++) {
-                RealProgram.Job job = program.job("/copy", "");
-                program.serve(1, "kept");
-                assertEquals("kept", job.answer().body());
-            }
-            assertFalse(program.workers.get(0).wasAsked());
+            program.allGoTo(1, 8);
         }
     }
 
@@ -330,11 +320,7 @@
             program.discovery.next().answer(200, program.list(42, true, "SERVING", "DRAINING"));
             Http.Message whole = program.discovery.next();
             assertTrue(whole.first().startsWith("GET /registry/instances HTTP"), whole.first());
-            for (int i = 0; i < 8; i++) {
-                RealProgram.Job job = program.job("/copy", "");
-                program.serve(1, "kept");
-                assertEquals("kept", job.answer().body());
-            }
+            program.allGoTo(1, 8);
             whole.answer(200, program.list(7, true, "SERVING", "DRAINING"));
             assertTrue(program.discovery.next().first().contains("from=7&"), "its count is the one that holds now");
             RealProgram.Job job = program.job("/copy", "");
