--- a/src/main/java/loomreel/core/Rpc.java
+++ b/src/main/java/loomreel/core/Rpc.java
@@ -36,6 +36,8 @@
     public final String target;
     /** What the body is, where the front knows; else null. */
     public final String contentType;
+    /** By what copy workers tell a repeat, passed on unchanged; null where there is none. */
+    public final String idempotencyKey;
     /** Owned by this RPC, and released with its answer. */
     public final Bytes body;
     /** When the caller stops waiting, in microseconds of the loop's clock. */
@@ -46,13 +48,14 @@
     private boolean over;
 
     /** One that is not taken yet. */
-    public Rpc(String id, int requestClass, String target, String contentType, Bytes body, long deadline,
-            Caller caller, Figures figures) {
+    public Rpc(String id, int requestClass, String target, String contentType, String idempotencyKey, Bytes body,
+            long deadline, Caller caller, Figures figures) {
         this.id = id;
         this.requestClass = requestClass;
         this.figures = figures;
         this.target = target;
         this.contentType = contentType;
+        this.idempotencyKey = idempotencyKey;
         this.body = body;
         this.deadline = deadline;
         this.caller = caller;
--- a/src/main/java/loomreel/decision/Book.java
+++ b/src/main/java/loomreel/decision/Book.java
@@ -3,6 +3,7 @@
 import loomreel.decision.Model.Arrival;
 import loomreel.decision.Model.Entry;
 import loomreel.decision.Model.RequestClass;
+import loomreel.decision.Model.Repeat;
 import loomreel.decision.Model.Report;
 import loomreel.decision.Model.Settings;
 import loomreel.decision.Model.State;
@@ -395,6 +396,8 @@
     static final class Request {
         final Arrival arrival;
         final RequestClass type;
+        /** How it may be repeated: as its class, unless its repeats could not be told. */
+        final Repeat repeat;
         final long token;
         final List<Attempt> attempts = new ArrayList<>(2);
         /** After this a start is too late for the full worth. */
@@ -414,6 +417,7 @@
         Request(Arrival arrival, RequestClass type, long token) {
             this.arrival = arrival;
             this.type = type;
+            this.repeat = type.repeat() == Repeat.GUARDED && !arrival.marked() ? Repeat.SINGLE_SHOT : type.repeat();
             this.token = token;
         }
 
--- a/src/main/java/loomreel/decision/Brain.java
+++ b/src/main/java/loomreel/decision/Brain.java
@@ -433,7 +433,7 @@
         boolean may = r.attempts.size() < settings.limits().maxAttempts() && now < r.lastMoment;
         for (Attempt a : r.attempts) {
             may &= (!a.open || settings.limits().secondCopies())
-                    && (a.neverRan || r.type.repeat() != Repeat.SINGLE_SHOT);
+                    && (a.neverRan || r.repeat != Repeat.SINGLE_SHOT);
         }
         return may;
     }
@@ -442,7 +442,7 @@
     private boolean maySendTo(Request r, Worker w) {
         boolean may = w.entry.state() == State.READY && book.workers.get(w.id) == w;
         for (Attempt a : r.attempts) {
-            may &= a.neverRan || a.worker != w && (r.type.repeat() != Repeat.GUARDED
+            may &= a.neverRan || a.worker != w && (r.repeat != Repeat.GUARDED
                     || r.type.group().joins(a.worker.entry, w.entry)
                     && now < a.sentAt + r.type.window() - 2 * settings.tick());
         }
@@ -626,7 +626,7 @@
      * asks again at once meets the same load; what may have run is failed.
      */
     private void giveUp(Request r, Why why) {
-        boolean harmless = r.type.repeat() == Repeat.FREE || r.attempts.stream().allMatch(a -> a.neverRan);
+        boolean harmless = r.repeat == Repeat.FREE || r.attempts.stream().allMatch(a -> a.neverRan);
         long holdOff = settings.limits().holdOff() ? settings.limits().maxHoldOff() : 0;
         String request = r.arrival.request();
         end(r, harmless ? new Refuse(request, holdOff, why) : new Fail(request, why));
--- a/src/main/java/loomreel/decision/Model.java
+++ b/src/main/java/loomreel/decision/Model.java
@@ -140,13 +140,14 @@
      * @param due when the client gives this try up
      * @param work the expected work in microseconds at speed 1, or NaN where it is not told
      * @param queue goes only to workers that take this queue's jobs, or null
+     * @param marked whether it carries what workers tell its repeats by; a guarded one that does not is single-shot
      */
     public record Arrival(String request, String key, double slots, int requestClass, int tenant, long due,
-            boolean clientRepeat, double work, String queue) implements Event {
-        /** One without a queue. */
+            boolean clientRepeat, double work, String queue, boolean marked) implements Event {
+        /** One without a queue, marked as its class asks for. */
         public Arrival(String request, String key, double slots, int requestClass, int tenant, long due,
                 boolean clientRepeat, double work) {
-            this(request, key, slots, requestClass, tenant, due, clientRepeat, work, null);
+            this(request, key, slots, requestClass, tenant, due, clientRepeat, work, null, true);
         }
     }
 
--- a/src/main/java/loomreel/faktory/FaktoryFront.java
+++ b/src/main/java/loomreel/faktory/FaktoryFront.java
@@ -396,10 +396,10 @@
         Bytes body = new Bytes(loop.pool);
         body.append(job.payload);
         Rpc rpc = new Rpc(id, spec.requestClass(), "/" + c.name() + "/" + spec.type() + "?jid=" + spec.jid(), Payloads.TYPE,
-                body, due, attempt, dispatcher.figures);
+                spec.jid(), body, due, attempt, dispatcher.figures);
         attempt.rpc = rpc;
         dispatcher.take(rpc, new Model.Arrival(id, spec.key(), Math.max(1, spec.slots()), spec.requestClass(), spec.tenant(),
-                due, job.failures > 0, spec.work(), spec.queue()));
+                due, job.failures > 0, spec.work(), spec.queue(), true));
     }
 
     private boolean mayRepeat(int requestClass) {
--- a/src/main/java/loomreel/web/ClientConnection.java
+++ b/src/main/java/loomreel/web/ClientConnection.java
@@ -161,10 +161,12 @@
         }
         front.known(this);
         long due = loop.now() + 1000 * Long.parseLong(budget);
-        rpc = new Rpc(id, requestClass, message.target(), null, message.body(), due, this, front.dispatcher.figures);
+        String key = message.header("idempotency-key");
+        rpc = new Rpc(id, requestClass, message.target(), null, key, message.body(), due, this,
+                front.dispatcher.figures);
         front.dispatcher.take(rpc, new Model.Arrival(id, message.header("x-route-hash"), Math.max(1, slots),
                 requestClass, front.tenants.getOrDefault(message.header("x-caller"), -1), due,
-                "1".equals(message.header("x-again")), cost));
+                "1".equals(message.header("x-again")), cost, null, key != null));
     }
 
     /** The slots that a job needs: 1 where it does not say; below 0 where what it says is no such number. */
--- a/src/main/java/loomreel/web/HttpSubchannel.java
+++ b/src/main/java/loomreel/web/HttpSubchannel.java
@@ -2,6 +2,8 @@
 
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import loomreel.core.CallAttempt;
 import loomreel.core.Dispatcher;
 import loomreel.core.Rpc;
@@ -73,10 +75,14 @@
             return null;
         }
         long left = Math.max(1, (attempt.deadline - attempt.sentAt) / 1000);
-        String id = "X-Call-Id: " + rpc.id;
-        String budget = "X-Budget-Ms: " + left;
-        Bytes request = rpc.contentType == null ? request("POST", rpc.target, rpc.body.length(), id, budget)
-                : request("POST", rpc.target, rpc.body.length(), id, budget, "Content-Type: " + rpc.contentType);
+        List<String> headers = new ArrayList<>(List.of("X-Call-Id: " + rpc.id, "X-Budget-Ms: " + left));
+        if (rpc.contentType != null) {
+            headers.add("Content-Type: " + rpc.contentType);
+        }
+        if (rpc.idempotencyKey != null) {
+            headers.add("Idempotency-Key: " + rpc.idempotencyKey);
+        }
+        Bytes request = request("POST", rpc.target, rpc.body.length(), headers.toArray(String[]::new));
         request.append(rpc.body);
         Call call = new Call(attempt);
         PeerConnection connection = peer.call(request, call);
--- a/src/test/java/loomreel/decision/RulesTest.java
+++ b/src/test/java/loomreel/decision/RulesTest.java
@@ -66,6 +66,20 @@
         assertTrue(repeats > 0, "some key has a second worker of the cell in sight");
     }
 
+    /** Nobody could tell its repeats: in doubt it is failed, as one that must not run twice. */
+    @Test
+    void aGuardedRequestWithoutAKeyIsNotSentAgain() {
+        for (int i = 0; i < 60; i++) {
+            Fixture f = fixture();
+            Send first = sends(f.on(new Arrival("a", "key" + i, 1, Fixture.PAY, -1, f.now + 10 * SECOND, false, Double.NaN,
+                    null, false))).get(0);
+            f.now += SECOND / 100;
+            List<Action> then = f.ended("a", 0, first.worker(), Outcome.ERROR);
+            assertEquals(1, of(Fail.class, then).size());
+            assertTrue(sends(f.runTimers(then, f.now + 6 * SECOND)).isEmpty());
+        }
+    }
+
     @Test
     void everyRequestIsAnsweredOnceByItsTime() {
         Fixture f = fixture();
