--- a/src/main/java/loomreel/http/HttpConnection.java
+++ b/src/main/java/loomreel/http/HttpConnection.java
@@ -9,6 +9,8 @@
 /** One connection that carries HTTP messages both ways. */
 public abstract class HttpConnection extends ByteConnection {
     protected final MessageParser parser;
+    /** Whether more bytes came together with the message that is being received, behind it. */
+    protected boolean surplus;
 
     /**
      * Takes over a channel.
@@ -37,6 +39,7 @@
         try {
             while (!isClosed() && takesMore() && in.hasRemaining()) {
                 Message message = parser.feed(in);
+                surplus = in.hasRemaining();
                 if (message != null) {
                     received(message);
                 }
--- a/src/main/java/loomreel/http/KeepAlive.java
+++ b/src/main/java/loomreel/http/KeepAlive.java
@@ -15,7 +15,12 @@
     /** Without resets the time doubles this often. */
     private static final double DOUBLES_IN = 20_000_000;
 
+    /** An answer that comes twice comes again within this time; for so long such peers are not trusted. */
+    private static final long REST = 20_000;
+    private static final long WARY_FOR = 10_000_000;
+
     private final long most;
+    private long waryUntil = Long.MIN_VALUE;
     private double resets;
     private long learned;
     private long learnedAt;
@@ -31,6 +36,19 @@
         return learned >= most ? most : (long) Math.min(most, learned * Math.pow(2, (now - learnedAt) / DOUBLES_IN));
     }
 
+    /**
+     * How long a connection must have lain idle before it is used again: nothing, unless answers have come twice of
+     * late. The second one would pass for the answer to the next request, and may say of what runs that it never ran.
+     */
+    long rest(long now) {
+        return now < waryUntil ? REST : 0;
+    }
+
+    /** An answer has come that nobody had asked for. */
+    void surplus(long now) {
+        waryUntil = now + WARY_FOR;
+    }
+
     /** A connection that had lain idle so long was reset by the next request, or carried it. */
     void usedAgain(long idle, boolean reset, long now) {
         if (idle < AT_LEAST) {
--- a/src/main/java/loomreel/http/Peer.java
+++ b/src/main/java/loomreel/http/Peer.java
@@ -86,7 +86,7 @@
      */
     public PeerConnection call(Bytes request, Exchange exchange) {
         closeStale();
-        PeerConnection connection = idle.pollLast();
+        PeerConnection connection = rested();
         if (connection == null) {
             if (!descriptors.room()) {
                 log.warn("no descriptor left for " + this);
@@ -112,6 +112,24 @@
         return connection;
     }
 
+    /** The idle connection that was used last, out of which nothing more can come of what it carried; or null. */
+    private PeerConnection rested() {
+        long rest = keepAlive.rest(loop.now());
+        while (!idle.isEmpty() && rest == 0) {
+            if (idle.peekLast().isQuiet()) {
+                return idle.pollLast();
+            }
+            idle.peekLast().close();
+        }
+        PeerConnection first = idle.peekFirst();
+        return first == null || loop.now() - first.idleSince < rest ? null : idle.pollFirst();
+    }
+
+    /** A connection brought bytes that nobody had asked for. */
+    void surplus() {
+        keepAlive.surplus(loop.now());
+    }
+
     /** A connection has carried its exchange to the end. */
     void free(PeerConnection connection) {
         if (connection.generation != generation || descriptors.open > descriptors.most) {
--- a/src/main/java/loomreel/http/PeerConnection.java
+++ b/src/main/java/loomreel/http/PeerConnection.java
@@ -1,6 +1,7 @@
 package loomreel.http;
 
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.net.StandardSocketOptions;
 import java.nio.channels.SocketChannel;
 import loomreel.decision.Model.Outcome;
@@ -72,6 +73,22 @@
         peer.closeIdle();
     }
 
+    /**
+     * Whether nothing has come since its last answer. An end that is here unread would reset the next request, and
+     * bytes would pass for its answer. This reads past the loop's own buffer, which may be in use just now.
+     */
+    boolean isQuiet() {
+        try {
+            int unasked = channel.read(ByteBuffer.allocate(1));
+            if (unasked > 0) {
+                peer.surplus();
+            }
+            return unasked == 0;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
     /** Gives the exchange up; the other side sees the connection close. */
     public void abandon() {
         exchange = null;
@@ -92,7 +109,11 @@
         Exchange ended = exchange;
         exchange = null;
         peer.usedAgain(idleBefore, false);
-        if (ended == null || !message.keepAlive() || out.length() > 0) {
+        if (ended == null || surplus) {
+            // More than was asked for: no later byte of this connection is the answer to anything.
+            peer.surplus();
+            close();
+        } else if (!message.keepAlive() || out.length() > 0) {
             close();
         } else {
             timer.cancel();
