--- a/src/main/java/loomreel/server/Server.java
+++ b/src/main/java/loomreel/server/Server.java
@@ -78,8 +78,8 @@
         this.config = config;
         loop = new EventLoop(new BufferPool((int) (config.memory() / 16 / BufferPool.SIZE)), trace);
         dispatcher = new Dispatcher(loop, config.settings(), config.seed(), config.answerSlack());
-        workers = new HttpWorkers(dispatcher, config.known(), config.discovery(), config.connectWithin(),
-                config.idleFor());
+        workers = new HttpWorkers(dispatcher, config.known(), config.discovery(), config.settings(),
+                config.connectWithin(), config.idleFor());
         dispatcher.add(workers);
         ServerSocketChannel listener = config.inherited() ? inherited() : bound(config);
         listener.configureBlocking(false);
@@ -203,17 +203,26 @@
      * @throws IOException if the selector fails
      */
     public void run() throws IOException {
-        dispatcher.start(life.down());
-        workers.start();
-        dispatcher.keep();
-        life.started();
-        started = true;
+        // On the loop, whose clock stood still since it was made: what is timed from here on would else be late at once.
+        loop.post(this::start);
         logFigures();
         loop.run();
         fronts.forEach(Front::end);
         log.info("empty, leaving; " + dispatcher.summary() + "; " + summary());
     }
 
+    private void start() {
+        dispatcher.start(life.down());
+        workers.start(this::open);
+        dispatcher.keep();
+        life.started();
+    }
+
+    private void open() {
+        started = true;
+        front.open();
+    }
+
     private String summary() {
         return fronts.stream().map(Front::summary).collect(Collectors.joining("; "));
     }
@@ -298,7 +307,9 @@
     }
 
     private void leaveWhenEmpty() {
-        if (dispatcher.isEmpty() && !front.owes() && (faktory == null || !faktory.owes() || loop.now() >= leaveBy)) {
+        // Whoever sends one request behind the other is answered to the end, and holds up nothing beyond it.
+        boolean owes = front.owes() && loop.now() < leaveBy + LAST_ANSWERS;
+        if (dispatcher.isEmpty() && !owes && (faktory == null || !faktory.owes() || loop.now() >= leaveBy)) {
             loop.stop();
         } else {
             loop.at(loop.now() + LOOK_EVERY, this::leaveWhenEmpty);
--- a/src/main/java/loomreel/web/HttpFront.java
+++ b/src/main/java/loomreel/web/HttpFront.java
@@ -76,7 +76,7 @@
     private boolean accepting = true;
 
     /**
-     * A front that accepts once the loop runs.
+     * A front that accepts nobody before it is opened.
      *
      * @param listener bound, not blocking
      * @throws IOException if it cannot be registered
@@ -93,7 +93,14 @@
         for (Model.Tenant t : settings.tenants()) {
             tenants.put(t.name(), tenants.size());
         }
-        key = listener.register(loop.selector, SelectionKey.OP_ACCEPT, this);
+        key = listener.register(loop.selector, 0, this);
+    }
+
+    /** From now on connections are accepted. */
+    public void open() {
+        if (accepting) {
+            key.interestOps(SelectionKey.OP_ACCEPT);
+        }
     }
 
     /** From now on so many connections may be open, and of {@code granted} descriptors a part may lie idle. */
@@ -116,9 +123,13 @@
         new ArrayList<>(idle).stream().filter(c -> newsToo || !c.bringsNews()).forEach(ClientConnection::close);
     }
 
-    /** What is idle ends; each answer from now on is the last one on its connection. */
+    /**
+     * What is idle ends; each answer from now on is the last one on its connection. A request that has come and was
+     * not read yet is read and served: the close would cross it.
+     */
     @Override
     public void leave() {
+        new ArrayList<>(idle).forEach(ClientConnection::readNow);
         closeIdle(true);
     }
 
--- a/src/main/java/loomreel/web/HttpWorkers.java
+++ b/src/main/java/loomreel/web/HttpWorkers.java
@@ -24,6 +24,8 @@
         @Override
         public void silent() { }
     };
+    /** How long a pushed list is waited for at a start: a third of the time in which a dispatcher has to be ready. */
+    private static final long AGENT_WITHIN = 10 * SECOND;
     /** Our side of an idle connection ends at this share of the time after which the copy worker ends it. */
     private static final double IDLE_SHARE = 0.7;
 
@@ -35,6 +37,10 @@
     private final KeepAlive keepAlive;
     private final ResolverResult known;
     /** Null where the list stays as it is. */
+    private final ListClock clock;
+    /** What waits for the first list of an agent; else null. */
+    private Runnable whenListed;
+    /** Null where the list stays as it is. */
     private final Resolver resolver;
     private final Map<String, HttpSubchannel> subchannels = new HashMap<>();
     /** Of the copy workers of a list that stays as it is, which has nobody to say that one is gone; else empty. */
@@ -44,17 +50,20 @@
      * Copy workers as they were last known.
      *
      * @param discovery where the list comes from, or null where {@code known} is all there is
+     * @param settings whose rules say how long news may take
      * @param connectWithin how long a connection may take to come up, in microseconds
      * @param idleFor how long a copy worker keeps an idle connection, in microseconds
      */
-    public HttpWorkers(Dispatcher dispatcher, ResolverResult known, InetSocketAddress discovery, long connectWithin,
-            long idleFor) {
+    public HttpWorkers(Dispatcher dispatcher, ResolverResult known, InetSocketAddress discovery, Model.Settings settings,
+            long connectWithin, long idleFor) {
         this.dispatcher = dispatcher;
         this.known = known;
         this.connectWithin = connectWithin;
         keepAlive = new KeepAlive((long) (idleFor * IDLE_SHARE));
+        clock = discovery == null ? null : ListClock.of(settings.rules(), settings.mustAsk());
         resolver = discovery == null ? null : new Resolver(dispatcher.loop, new Peer(dispatcher.loop, "discovery",
-                discovery, new Peer.Descriptors(1), connectWithin, new KeepAlive(SECOND), peerLog), known.seq(), this);
+                discovery, new Peer.Descriptors(1), connectWithin, new KeepAlive(SECOND), peerLog), known.seq(), clock,
+                this);
     }
 
     /** From now on so many descriptors are for calls. */
@@ -62,9 +71,32 @@
         descriptors.most(sockets);
     }
 
-    /** Tells the list held so far. */
-    public void start() {
+    /**
+     * Tells the list held so far, which is enough to serve where lists are asked for. Where they are pushed, what the
+     * agent has counts as told from the first moment on, so its list is waited for, for a while.
+     *
+     * @param listed is called once, when jobs may be sent by what is held
+     */
+    public void start(Runnable listed) {
         resolved(known);
+        if (resolver == null || !clock.pushed()) {
+            listed.run();
+            return;
+        }
+        whenListed = listed;
+        dispatcher.loop.at(dispatcher.loop.now() + AGENT_WITHIN, () -> {
+            if (whenListed != null) {
+                log.warn("discovery's agent says nothing: serving by the list that was last held");
+                listed();
+            }
+        });
+        resolver.watch();
+    }
+
+    private void listed() {
+        Runnable listed = whenListed;
+        whenListed = null;
+        listed.run();
     }
 
     /** Discovery is at another address from now on. */
@@ -160,6 +192,9 @@
             new ArrayList<>(before.keySet()).forEach(this::retire);
         }
         dispatcher.listed(this, result.whole(), result.entries());
+        if (whenListed != null && result != known) {
+            listed();
+        }
     }
 
     private HttpSubchannel subchannel(Model.Entry entry, ResolverResult result) {
--- a/src/main/java/loomreel/web/Resolver.java
+++ b/src/main/java/loomreel/web/Resolver.java
@@ -23,23 +23,22 @@
         void lost();
     }
 
-    /**
-     * How long discovery may hold a call. What it has to tell counts as told 2 s after that, whether or not it came;
-     * the drain rule then leaves 3 s. A call that is silent must be given up and asked anew within those 5 s.
-     */
-    private static final long HOLD = 4_000_000;
-    /** How long after the hold an answer is waited for: less than the 2 s after which news counts as told. */
-    private static final long GRACE = 1_500_000;
-
     /** No version: the whole list is asked for. */
     private static final long NONE = -1;
 
     private final EventLoop loop;
     private final Peer discovery;
     private final Listener listener;
+    private final ListClock clock;
     private final BoundedLog log = new BoundedLog("loomreel.web.resolver");
     private long seq;
     private boolean calling;
+    /** When the last call began. */
+    private long calledAt;
+    /** Where lists are pushed: the next call, while one has to wait. */
+    private EventLoop.Timer next;
+    /** Whether the last call fell silent, too. */
+    private boolean silent;
     /** What carries the call that is out. */
     private PeerConnection connection;
 
@@ -48,10 +47,12 @@
      *
      * @param seq the version of the list held so far
      */
-    Resolver(EventLoop loop, Peer discovery, long seq, Listener listener) {
+    Resolver(EventLoop loop, Peer discovery, long seq, ListClock clock, Listener listener) {
         this.loop = loop;
         this.discovery = discovery;
-        this.seq = seq;
+        this.clock = clock;
+        // What an agent holds counts as told whatever was known before: it is taken whole, however versions are counted.
+        this.seq = clock.pushed() ? NONE : seq;
         this.listener = listener;
     }
 
@@ -59,15 +60,16 @@
     void watch() {
         if (!calling) {
             calling = true;
+            calledAt = loop.now();
             if (loop.trace != null) {
                 loop.trace.line(loop.now(), "listcall", "from", seq);
             }
             boolean whole = seq == NONE;
             Bytes request = new Bytes(loop.pool);
             request.append(Heads.request("GET",
-                    "/registry/instances" + (whole ? "" : "?from=" + seq + "&hold_ms=" + HOLD / 1000),
+                    "/registry/instances" + (whole ? "" : "?from=" + seq + "&hold_ms=" + clock.hold() / 1000),
                     discovery.address().getHostString() + ":" + discovery.address().getPort(), 0));
-            PeerConnection carrier = discovery.call(request, new Call(loop.now() + (whole ? 0 : HOLD) + GRACE));
+            PeerConnection carrier = discovery.call(request, new Call(clock.deadline(calledAt, !whole)));
             // It may have failed on the spot.
             connection = calling ? carrier : null;
         }
@@ -84,10 +86,21 @@
         }
         discovery.renew(address);
         calling = false;
+        silent = false;
         seq = NONE;
         watch();
     }
 
+    /** An agent answers at once and at no cost, so nobody decides when it is asked: always, but not in a tight loop. */
+    private void again() {
+        if (next == null) {
+            next = loop.at(Math.max(loop.now(), calledAt + clock.pace()), () -> {
+                next = null;
+                watch();
+            });
+        }
+    }
+
     private record Answer(ResolverResult result, String fault) { }
 
     private static Answer read(Message message) {
@@ -116,6 +129,7 @@
         @Override
         public void answered(Message message) {
             end();
+            silent = false;
             Answer answer = read(message);
             if (answer.result() == null) {
                 lost(answer.fault());
@@ -143,7 +157,16 @@
         @Override
         public void broken(Outcome outcome) {
             end();
-            lost(outcome.toString());
+            boolean first = outcome == Outcome.TIMEOUT && !silent;
+            silent = outcome == Outcome.TIMEOUT;
+            if (first && !clock.pushed()) {
+                // Silence says nothing of how busy discovery is: the watch is opened anew at once, elsewhere. Its
+                // connection is closed, and there is no other.
+                log.warn("the watch on " + discovery + " has fallen silent and is opened anew");
+                watch();
+            } else {
+                lost(outcome.toString());
+            }
         }
 
         private void end() {
@@ -153,7 +176,11 @@
 
         private void lost(String why) {
             log.warn("the watch on " + discovery + " is lost: " + why);
-            listener.lost();
+            if (clock.pushed()) {
+                again();
+            } else {
+                listener.lost();
+            }
         }
     }
 }
--- a/src/test/java/loomreel/program/ServeTest.java
+++ b/src/test/java/loomreel/program/ServeTest.java
@@ -44,6 +44,116 @@
         }
     }
 
+    private static String keyedClass(String settings) {
+        return settings.replace("\"RequestClasses\":[", "\"RequestClasses\":[{\"Name\":\"hold\",\"TargetS\":20,"
+                + "\"DeadlineS\":20,\"Repeat\":\"guarded\",\"Group\":\"zone\",\"WindowS\":15,\"Value\":3},");
+    }
+
+    /** The copy workers tell repeats by the key: without one a repeat would be a second run, so there is none. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void aKeyedJobIsSentAgainUnderItsKeyAndNeverWithoutOne(boolean keyed) throws Exception {
+        try (RealProgram program = new RealProgram(2, false, ServeTest::keyedClass); Socket client = program.connect()) {
+            String key = "5c0f6e1a-2b3d, \"x\"; ~";
+            Http.write(client, "POST /hold/1 HTTP/1.1\r\nHost: x\r\nX-Call-Id: 00000000000000cc\r\nX-Budget-Ms: 20000\r\n"
+                    + (keyed ? "idempotency-KEY: " + key + "\r\n" : "") + "Content-Length: 4\r\n\r\nbody");
+            int at = asked(program);
+            Http.Message first = program.workers.get(at).next();
+            assertEquals(keyed ? key : null, first.header("Idempotency-Key"));
+            first.from().close();
+            if (keyed) {
+                Http.Message second = program.workers.get(1 - at).next();
+                assertEquals(key, second.header("Idempotency-Key"));
+                assertEquals("body", second.body());
+                second.answer(202, "");
+                program.news("00000000000000cc", "w" + (1 - at), "done", ",\"result\":\"held\"");
+                assertEquals("held", Http.read(client).body());
+            } else {
+                assertEquals(500, Http.read(client).status());
+                assertFalse(program.workers.get(1 - at).wasAsked());
+            }
+        }
+    }
+
+    private static String pushed(String settings) {
+        return settings.replace("\"Discovery\":\"ask\"", "\"Discovery\":\"push\"")
+                .replace("\"StopSendingWithinS\":3", "\"StopSendingWithinS\":5");
+    }
+
+    /** Answers with a list until the program goes on from it: it asks again when this machine is slow. */
+    private static Http.Message untilItHas(RealProgram program, int seq, String list) throws Exception {
+        Http.Message call = program.discovery.next();
+        while (!call.first().contains("?from=" + seq + "&")) {
+            call.answer(200, list);
+            call = program.discovery.next();
+        }
+        return call;
+    }
+
+    /** Where lists are pushed, what the agent has counts as told from the first moment on, whatever was known before. */
+    @Test
+    void aPushedListIsTakenBeforeTheFirstJobGoesOut() throws Exception {
+        try (RealProgram program = new RealProgram(2, false, ServeTest::pushed)) {
+            Http.Message whole = program.discovery.next();
+            assertEquals("GET /registry/instances HTTP/1.1", whole.first());
+            List<RealProgram.Job> jobs = new ArrayList<>();
+            for (int i = 0; i < 8; i++) {
+                jobs.add(program.job("/copy/" + i, ""));
+            }
+            String list = program.list(7, true, "DRAINING", "SERVING").replace(",", ",\n  ");
+            whole.answer(200, list);
+            untilItHas(program, 7, list);
+            for (int i = 0; i < jobs.size(); i++) {
+                program.serve(1, "served");
+            }
+            for (RealProgram.Job job : jobs) {
+                assertEquals("served", job.answer().body());
+            }
+            assertFalse(program.workers.get(0).wasAsked());
+        }
+    }
+
+    /** Nothing that an agent has may be missed for as long as the grace, whether it is silent or fails. */
+    @ParameterizedTest
+    @ValueSource(strings = {"silent", "503", "closed", "cut"})
+    void aPushedListIsAskedForAgainOnANewConnectionWithinTheGrace(String how) throws Exception {
+        try (RealProgram program = new RealProgram(2, false, ServeTest::pushed)) {
+            Http.Message watch = untilItHas(program, 41, program.list(41, true, "SERVING"));
+            for (int i = 0; i < 3; i++) {
+                int hold = Integer.parseInt(watch.first().replaceAll(".*hold_ms=(\\d+).*", "$1"));
+                assertTrue(watch.first().contains("?from=41&") && hold <= 2500, watch.first());
+                switch (how) {
+                    case "503" -> watch.answer(503, "");
+                    case "cut" -> watch.answer(200, program.list(44, true, "DRAINING").substring(0, 40));
+                    case "closed" -> watch.from().close();
+                    default -> program.discovery.awaitEnd(watch.from());
+                }
+                watch = program.discovery.next();
+            }
+            watch.answer(200, program.list(43, false, "DRAINING", "SERVING"));
+            untilItHas(program, 43, program.list(43, false, "DRAINING", "SERVING"));
+            program.allGoTo(1, 8);
+        }
+    }
+
+    /** Bytes behind a whole answer are nobody's: as the next answer they would say that a job was turned away. */
+    @Test
+    void whatComesBehindAnAnswerIsNotTheNextOne() throws Exception {
+        try (RealProgram program = new RealProgram(1, false)) {
+            for (int i = 0; i < 4; i++) {
+                RealProgram.Job job = program.job("/issue", "");
+                Http.Message post = program.workers.get(0).next();
+                Http.write(post.from(), "HTTP/1.1 202 x\r\nContent-Length: 0\r\n\r\n"
+                        + "HTTP/1.1 503 x\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n");
+                program.workers.get(0).awaitEnd(post.from());
+                program.news(job.id(), "w0", "done", ",\"result\":\"once\"");
+                assertEquals("once", job.answer().body());
+            }
+            assertEquals(4, program.workers.get(0).connections(), "none of them was used again");
+            assertFalse(program.workers.get(0).wasAsked());
+        }
+    }
+
     /** A call-back may overtake the 202, come again, or name a job that nobody knows (any more). */
     @Test
     void newsIsActedOnOnceAndAlwaysAnswered() throws Exception {
