--- a/src/main/java/loomreel/web/ClientConnection.java
+++ b/src/main/java/loomreel/web/ClientConnection.java
@@ -231,7 +231,8 @@
         rpc = null;
         answering = true;
         wrong = status >= 400 && status < 500;
-        lastAnswer |= front.gate.isLast(bringsNews);
+        // What was read behind this request has been taken, and is answered before the connection ends.
+        lastAnswer |= front.gate.isLast(bringsNews) && ahead.length() == 0;
         String[] close = lastAnswer ? new String[] {"Connection: close"} : new String[0];
         String[] headers = header == null ? close
                 : lastAnswer ? new String[] {header, close[0]} : new String[] {header};
@@ -273,7 +274,6 @@
     private void next() {
         timer = null;
         answering = false;
-        front.idle(this);
         if (ahead.length() > 0) {
             byte[] next = ahead.toArray();
             ahead.release();
@@ -281,6 +281,9 @@
             // At once: what is read from the channel next came after it.
             take(ByteBuffer.wrap(next));
         }
+        if (!isClosed() && !owes() && !leaving && parser.atStart()) {
+            front.idle(this);
+        }
     }
 
     /** Closing at once would reset the connection if anything has come unread, and the answer could be lost. */
--- a/src/test/java/loomreel/program/ServeTest.java
+++ b/src/test/java/loomreel/program/ServeTest.java
@@ -625,6 +625,32 @@
         }
     }
 
+    /** What was read behind a request has been taken too, and is answered before its connection ends. */
+    @Test
+    void aStopAnswersWhatWasSentAheadOnOneConnection() throws Exception {
+        try (RealProgram program = new RealProgram(1, false); Socket ahead = program.connect()) {
+            RealProgram.Job idle = program.job("/copy", "");
+            program.serve(0, "idle");
+            assertEquals("idle", idle.answer().body());
+            RealProgram.Job first = program.job(ahead, "/copy/1", 20_000, "");
+            RealProgram.Job second = program.job(ahead, "/copy/2", 20_000, "");
+            Http.Message post = program.workers.get(0).next();
+            post.answer(202, "");
+            program.process.toHandle().destroy();
+            assertNull(Http.read(idle.socket()), "from here on connections are closed");
+            program.news(first.id(), "w0", "done", ",\"result\":\"1\"");
+            Http.Message answer = Http.read(ahead);
+            assertEquals("1", answer.body());
+            assertNull(answer.header("Connection"));
+            assertEquals("POST /copy/2 HTTP/1.1", program.workers.get(0).next().first());
+            program.news(second.id(), "w0", "done", ",\"result\":\"2\"");
+            answer = Http.read(ahead);
+            assertEquals("2", answer.body());
+            assertEquals("close", answer.header("Connection"));
+            assertTrue(program.process.waitFor(Http.PATIENCE_MS, TimeUnit.MILLISECONDS));
+        }
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"", "{", "{}", "{\"listen\":\"nowhere\",\"discovery\":\"127.0.0.1:1\",\"seed\":\"1\"}"})
     void aBadConfigurationIsNamedInOneLine(String config) throws Exception {
