--- a/src/main/java/loomreel/decision/Book.java
+++ b/src/main/java/loomreel/decision/Book.java
@@ -327,9 +327,8 @@
         Entry entry;
         /** Its place under the hash that is being ranked. */
         double score;
-        /** The work that may be sent while it is cold, and when that was reckoned. */
-        double coldLeft;
-        long coldAt;
+        /** What may be sent while it is cold. */
+        final ColdBudget cold = new ColdBudget();
         /** Slots as learned from reports; 0 while unknown. */
         double slots;
         /** Load in the last report, as a share of the slots, and its mean over the reports so far. */
@@ -358,8 +357,7 @@
         }
 
         void restarted(long now, double left) {
-            coldLeft = left;
-            coldAt = now;
+            cold.start(left, now);
             avoidUntil = NEVER;
             backoff = 0;
             reportAt = NEVER;
@@ -411,6 +409,9 @@
         /** How often it was held: each time the fallback looks further down the ranking. */
         int holds;
         int probeRound;
+        /** How many workers its key needs, and what its sample of them is drawn by: new each time it is placed. */
+        int width = Integer.MAX_VALUE;
+        long draw;
         int probesOut;
         int probesSent;
 
--- a/src/main/java/loomreel/decision/Brain.java
+++ b/src/main/java/loomreel/decision/Brain.java
@@ -46,6 +46,8 @@
     private static final double FADE = 0.8e6;
     /** A report younger than this is not worth a probe. */
     private static final long FRESH = 400_000;
+    /** The fallback is only looked at for room, not for the least load: there a report does for longer. */
+    private static final long STILL_FRESH = 4 * FRESH;
     /** The size of job, as a share of the mean, that must still make it in time when an attempt starts. */
     private static final double TYPICAL = 0.4;
     /** Machines differ; one that takes this much longer than all of them is loaded more, by what is above. */
@@ -215,6 +217,14 @@
         if (arrival.key() != null) {
             key(r).demand.add(arrival.slots() * run / MEMORY, now);
         }
+        anew(r);
+    }
+
+    /** Looks for a place with a sample of its own: the same workers are asked and then chosen from. */
+    private void anew(Request r) {
+        r.width = r.arrival.key() == null || pool(r).length == 0 ? Integer.MAX_VALUE : width(key(r));
+        r.probeRound = r.width > 2 ? 1 : 0;
+        r.draw = random.nextLong();
         place(r);
     }
 
@@ -234,7 +244,7 @@
         if (settings.limits().probing() && settings.reporting() != Reporting.NONE && askCandidates(r)) {
             return;
         }
-        Worker worker = choose(r);
+        Worker worker = choose(r, 1);
         if (worker != null) {
             send(r, worker);
         } else if (r.threshold < THRESHOLD) {
@@ -263,8 +273,7 @@
         int tries = 0;
         for (Request r : waiting) {
             if (tries++ < 32 || now >= r.giveUpAt) {
-                r.probeRound = 0;
-                place(r);
+                anew(r);
             } else if (!r.ended) {
                 book.held.add(r);
             }
@@ -278,12 +287,16 @@
     /** Probes the candidates whose load is not known; true if the request waits for the answers. */
     private boolean askCandidates(Request r) {
         for (; r.probeRound < 2; r.probeRound++) {
-            if (r.probeRound > 0 && choose(r) != null) {
+            if (choose(r, r.probeRound - 1) != null) {
                 return false;
             }
+            boolean fallback = r.probeRound > 0 && r.width <= 2;
+            long fresh = fallback ? STILL_FRESH : FRESH;
             for (Worker w : candidates(r, r.probeRound)) {
-                // Where the job would not be sent whatever the answer, asking is work for nothing.
-                if (now - w.reportAt < FRESH || !maySendTo(r, w) || now < w.avoidUntil || !coldAllows(r, w)) {
+                // Where the job would not be sent whatever the answer, asking is work for nothing. A cold
+                // one's room is its leave.
+                if (now - w.reportAt < fresh || fallback && book.warmth(w, now) < 1
+                        || !maySendTo(r, w) || now < w.avoidUntil || !coldAllows(r, w)) {
                     continue;
                 }
                 if (w.probedAt < 0 && r.probesSent++ < 4 * PROBES) {
@@ -309,9 +322,9 @@
     }
 
     /** Algorithm 1, lines 2 to 10, then the fallback in place of line 11. */
-    private Worker choose(Request r) {
+    private Worker choose(Request r, int last) {
         double t = r.threshold * Math.max(THRESHOLD, Math.min(1.5, 1.1 * book.meanLoad));
-        for (int round = r.arrival.key() == null || width(key(r)) > 2 ? 1 : 0; round < 2; round++) {
+        for (int round = r.width > 2 ? 1 : 0; round <= last; round++) {
             Worker best = null;
             double least = Double.POSITIVE_INFINITY;
             for (Worker w : candidates(r, round)) {
@@ -347,16 +360,16 @@
             return list;
         }
         int sample = Math.min(pool.length, settings.limits().probing() ? PROBES : SAMPLE);
-        int width = key == null ? Integer.MAX_VALUE : width(key);
-        if (key == null || width > key.ranking.length) {
+        if (key == null || r.width > key.ranking.length) {
             for (int i = 0; i < sample; i++) {
-                list.add(pool[random.nextInt(pool.length)]);
+                list.add(pool[(int) Long.remainderUnsigned(Book.mix(r.draw + i), pool.length)]);
             }
             return list;
         }
         boolean further = r.holds > 0 && book.meanLoad < ROOM;
-        int from = (width > 2 ? random.nextInt(width) : 1) + (further ? r.holds * sample : 0);
-        int span = Math.min(key.ranking.length, further ? RANKS : Math.max(width, sample + 1));
+        int from = r.width > 2 ? (int) Long.remainderUnsigned(r.draw, r.width) : 1;
+        from += further ? r.holds * sample : 0;
+        int span = Math.min(key.ranking.length, further ? RANKS : Math.max(r.width, sample + 1));
         for (int i = 0; i < sample; i++) {
             list.add(key.ranking[(from + i) % span]);
         }
@@ -403,8 +416,7 @@
 
     /**
      * Guards the fourth rule: what all nodes together send a cold worker in any time in which it could fall
-     * over stays under the tipping load. A node's part fills evenly, so that no bunch of jobs spends it at
-     * once; a heavy job may go when it is full, and is paid for by those after it.
+     * over stays under the tipping load, by the bound that stands at ColdBudget.
      */
     private boolean coldAllows(Request r, Worker w) {
         double warmth = book.warmth(w, now);
@@ -421,11 +433,7 @@
         double sure = book.slots(w) * book.speed(w.entry.kind(), LEAST_SPEED, now) / settings.nodes();
         double rate = part * warmth * settings.rules().tipMultiple()
                 * Math.max(COLD_MARGIN * even, COLD_SURE * sure);
-        double most = Math.max(book.largestWork(), rate * settings.rules().fallWithin() / 4);
-        w.coldLeft = Math.min(most, w.coldLeft + rate * (now - w.coldAt));
-        w.coldAt = now;
-        // Small jobs wait for as much as a mean one: else all nodes would send theirs as the worker comes.
-        return w.coldLeft >= Math.min(most, Math.max(book.largestWork(), book.coldCost(r)));
+        return w.cold.allows(rate, book.largestWork(), settings.rules().fallWithin(), book.coldCost(r), now);
     }
 
     /** The first two rules, as far as they hold for any worker. */
@@ -455,7 +463,7 @@
         r.attempts.add(attempt);
         w.open.add(attempt);
         w.ownSince.add(r.arrival.slots(), now);
-        w.coldLeft -= book.coldCost(r);
+        w.cold.take(book.coldCost(r));
         book.workSent.add(book.work(r), now);
         actions.add(new Send(r.arrival.request(), w.id, 0));
         if (settings.tellsStart()) {
@@ -521,8 +529,7 @@
         if (e.answered()) {
             end(r, null);
         } else if (maySend(r)) {
-            r.probeRound = 0;
-            place(r);
+            anew(r);
         } else if (!r.anyOpen()) {
             giveUp(r, Why.NO_OTHER_ATTEMPT);
         }
@@ -606,7 +613,7 @@
         if (now >= r.giveUpAt) {
             giveUp(r, Why.NOT_STARTED_IN_TIME);
         } else if (now - last.sentAt >= book.patience() && maySend(r)) {
-            Worker w = choose(r);
+            Worker w = choose(r, 1);
             if (w != null) {
                 send(r, w);
             }
--- a/src/test/java/loomreel/decision/OrdinaryPathTest.java
+++ b/src/test/java/loomreel/decision/OrdinaryPathTest.java
@@ -295,4 +295,64 @@
         }
         assertEquals(1, sends(f.arrive("a", "key", Fixture.READ)).size());
     }
+
+    /** Answers every probe, also those that the answers bring; what the node did but for probes. */
+    private static List<Action> answerProbes(Fixture f, List<Action> actions, Set<String> asked, Report report) {
+        List<Action> all = new ArrayList<>();
+        List<Action> now = actions;
+        while (!now.isEmpty()) {
+            List<Action> next = new ArrayList<>();
+            for (Action action : now) {
+                if (action instanceof Probe probe) {
+                    asked.add(probe.worker());
+                    next.addAll(f.on(new Probed(probe.worker(), Outcome.OK, 1000, report)));
+                } else {
+                    all.add(action);
+                }
+            }
+            now = next;
+        }
+        return all;
+    }
+
+    /** Among many nodes nobody knows a worker by its own jobs: the fallback, too, is asked before it is used. */
+    @Test
+    void theFallbackIsAskedBeforeItIsUsed() {
+        for (int i = 0; i < 30; i++) {
+            Fixture f = new Fixture(Fixture.settings(60, true, true, Reporting.WITH_PROBES, false), i);
+            f.on(new WholeList(Fixture.workers(20)));
+            List<Action> next = new ArrayList<>();
+            Set<String> pair = new HashSet<>();
+            for (Probe probe : of(Probe.class, f.arrive("a", "key" + i, Fixture.READ))) {
+                pair.add(probe.worker());
+                next.addAll(f.on(new Probed(probe.worker(), Outcome.OK, 1000, Fixture.report(8, 12, 0))));
+            }
+            assertTrue(sends(next).isEmpty(), "both candidates are full, and of no other anything is known");
+            Set<String> fallback = new HashSet<>();
+            List<Send> sent = sends(answerProbes(f, next, fallback, Fixture.report(0, 0, 4)));
+            assertEquals(1, sent.size());
+            assertTrue(fallback.contains(sent.get(0).worker()), sent + " of " + fallback + " beside " + pair);
+        }
+    }
+
+    /** A hot key's jobs spread over many workers: the ones that are asked are the ones that are chosen from. */
+    @Test
+    void aHotKeysJobGoesWhereItAsked() {
+        Fixture f = new Fixture(Fixture.settings(60, true, true, Reporting.WITH_PROBES, false), 3);
+        f.on(new WholeList(Fixture.workers(20)));
+        Set<String> used = new HashSet<>();
+        for (int i = 0; i < 40; i++) {
+            f.now += SECOND / 2;
+            Set<String> asked = new HashSet<>();
+            List<Send> sent = sends(answerProbes(f, f.arrive("r" + i, "hot", Fixture.READ), asked,
+                    Fixture.report(0, 0, 4)));
+            assertEquals(1, sent.size());
+            String worker = sent.get(0).worker();
+            assertTrue(asked.contains(worker), worker + " was not among " + asked);
+            assertTrue(asked.size() <= 3, asked.toString());
+            used.add(worker);
+            f.ended("r" + i, 0, worker, Outcome.OK);
+        }
+        assertTrue(used.size() > 3, "it is spread: " + used);
+    }
 }
