--- a/src/test/java/loomreel/program/ServeTest.java
+++ b/src/test/java/loomreel/program/ServeTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNotSame;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertSame;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -136,6 +137,51 @@
         }
     }
 
+    /** An agent that says nothing must not keep a dispatcher from being ready in the platform's 30 s. */
+    @Test
+    void aSilentAgentIsNotWaitedForForEver() throws Exception {
+        try (RealProgram program = new RealProgram(1, false, ServeTest::pushed)) {
+            program.discovery.next();
+            RealProgram.Job job = program.job("/copy", "");
+            assertTrue(program.awaitLog("agent says nothing").contains("last held"));
+            program.serve(0, "held");
+            assertEquals("held", job.answer().body());
+        }
+    }
+
+    /** A silent watch is over: what comes on it later is not the answer to the call that took its place. */
+    @Test
+    void aListThatComesLateOnASilentWatchIsNotTaken() throws Exception {
+        try (RealProgram program = new RealProgram(2, false, ServeTest::pushed)) {
+            Http.Message silent = untilItHas(program, 41, program.list(41, true, "SERVING"));
+            program.discovery.awaitEnd(silent.from());
+            try {
+                silent.answer(200, program.list(50, true, "SERVING", "DRAINING"));
+            } catch (SocketException gone) {
+                // That is as good as not being read.
+            }
+            program.discovery.next().answer(200, program.list(43, false, "DRAINING", "SERVING"));
+            untilItHas(program, 43, program.list(43, false, "DRAINING", "SERVING"));
+            program.allGoTo(1, 8);
+        }
+    }
+
+    /** An answer that comes twice counts once; the call after it goes out on a connection that owes nothing. */
+    @Test
+    void aListThatIsAnsweredTwiceCountsOnce() throws Exception {
+        try (RealProgram program = new RealProgram(2, false)) {
+            Http.Message watch = program.discovery.next();
+            String first = program.list(43, false, "DRAINING", "SERVING");
+            String second = program.list(44, false, "SERVING", "DRAINING");
+            Http.write(watch.from(), "HTTP/1.1 200 x\r\nContent-Length: " + first.length() + "\r\n\r\n" + first
+                    + "HTTP/1.1 200 x\r\nContent-Length: " + second.length() + "\r\n\r\n" + second);
+            Http.Message next = program.discovery.next();
+            assertTrue(next.first().contains("?from=43&"), next.first());
+            assertNotSame(watch.from(), next.from());
+            program.allGoTo(1, 8);
+        }
+    }
+
     /** Bytes behind a whole answer are nobody's: as the next answer they would say that a job was turned away. */
     @Test
     void whatComesBehindAnAnswerIsNotTheNextOne() throws Exception {
