--- a/src/main/java/loomreel/http/Peer.java
+++ b/src/main/java/loomreel/http/Peer.java
@@ -112,17 +112,24 @@
         return connection;
     }
 
-    /** The idle connection that was used last, out of which nothing more can come of what it carried; or null. */
+    /**
+     * The idle connection that was used last, out of which nothing more can come of what it carried; where answers come twice, the
+     * one that has rested longest; or null.
+     */
     private PeerConnection rested() {
         long rest = keepAlive.rest(loop.now());
-        while (!idle.isEmpty() && rest == 0) {
-            if (idle.peekLast().isQuiet()) {
-                return idle.pollLast();
+        while (!idle.isEmpty()) {
+            PeerConnection next = rest == 0 ? idle.peekLast() : idle.peekFirst();
+            if (loop.now() - next.idleSince < rest) {
+                return null;
+            }
+            idle.remove(next);
+            if (next.isQuiet()) {
+                return next;
             }
-            idle.peekLast().close();
+            next.close();
         }
-        PeerConnection first = idle.peekFirst();
-        return first == null || loop.now() - first.idleSince < rest ? null : idle.pollFirst();
+        return null;
     }
 
     /** A connection brought bytes that nobody had asked for. */
--- a/src/main/java/loomreel/web/ListClock.java
+++ b/src/main/java/loomreel/web/ListClock.java
@@ -1,5 +1,6 @@
 package loomreel.web;
 
+import loomreel.decision.Model.Outcome;
 import loomreel.decision.Model.Rules;
 
 /**
@@ -15,7 +16,7 @@
  *
  * @param hold how long a call may wait for news
  * @param patience how long after that wait its answer is waited for; then it is silent
- * @param pace the least time between two calls that fail one after the other, where nobody else says when to call
+ * @param pace the least time from one call to the next where the first went unheard, or failed at an agent
  */
 record ListClock(boolean pushed, long hold, long patience, long pace) {
     private static final long SILENCE = 6_000_000;
@@ -24,6 +25,10 @@
     private static final long LEAST = 50_000;
     /** An answer that is this late after the wait is not slow any more. */
     private static final long MOST_PATIENCE = 1_500_000;
+    /** Nobody is kept busy by calls that are not heard, and what was missed must be known in a few seconds. */
+    private static final long UNHEARD_PACE = 1_000_000;
+    /** {@link #again}: the module decides when to ask. */
+    static final long NOT_HERE = -1;
 
     /**
      * The times that hold for a deployment.
@@ -38,7 +43,8 @@
     static ListClock of(Rules rules, boolean asked) {
         long grace = rules.stopSendingWithin();
         if (asked) {
-            return new ListClock(false, SILENCE - AFTER_WAIT, Math.min(MOST_PATIENCE, (AFTER_WAIT + grace) / 2), 0);
+            return new ListClock(false, SILENCE - AFTER_WAIT, Math.min(MOST_PATIENCE, (AFTER_WAIT + grace) / 2),
+                    UNHEARD_PACE);
         }
         long fifth = Math.max(LEAST, grace / 5);
         return new ListClock(true, Math.min(SILENCE - AFTER_WAIT, 2 * fifth), Math.min(MOST_PATIENCE, fifth), fifth);
@@ -48,4 +54,25 @@
     long deadline(long now, boolean waits) {
         return now + (waits ? hold : 0) + patience;
     }
+
+    /** Whether nobody was there to hear a call: it fell silent, or after a silence no connection comes up either. */
+    static boolean unheard(Outcome outcome, boolean silentBefore) {
+        return outcome == Outcome.TIMEOUT || silentBefore && outcome == Outcome.CONNECT_FAILED;
+    }
+
+    /**
+     * When a call that failed is made anew. Where lists are asked for, a refusal, a reset or nonsense says that discovery is busy or
+     * down, and how to spare it is for the module to decide. Silence says nothing of that, and the clock runs: at once on
+     * the first, then at a pace.
+     *
+     * @param silentBefore whether the call before this one went unheard, too
+     * @param calledAt when this one began
+     * @return the time, or {@link #NOT_HERE}
+     */
+    long again(Outcome outcome, boolean silentBefore, long calledAt, long now) {
+        if (!pushed && !unheard(outcome, silentBefore)) {
+            return NOT_HERE;
+        }
+        return !pushed && !silentBefore ? now : Math.max(now, calledAt + pace);
+    }
 }
--- a/src/main/java/loomreel/web/Resolver.java
+++ b/src/main/java/loomreel/web/Resolver.java
@@ -35,9 +35,9 @@
     private boolean calling;
     /** When the last call began. */
     private long calledAt;
-    /** Where lists are pushed: the next call, while one has to wait. */
+    /** The next call, while it has to wait. */
     private EventLoop.Timer next;
-    /** Whether the last call fell silent, too. */
+    /** Whether the last call went unheard. */
     private boolean silent;
     /** What carries the call that is out. */
     private PeerConnection connection;
@@ -91,10 +91,12 @@
         watch();
     }
 
-    /** An agent answers at once and at no cost, so nobody decides when it is asked: always, but not in a tight loop. */
-    private void again() {
-        if (next == null) {
-            next = loop.at(Math.max(loop.now(), calledAt + clock.pace()), () -> {
+    /** The connection of a call that went unheard is closed, and there is no other: this is a new one. */
+    private void watchAt(long time) {
+        if (time <= loop.now()) {
+            watch();
+        } else if (next == null) {
+            next = loop.at(time, () -> {
                 next = null;
                 watch();
             });
@@ -132,7 +134,7 @@
             silent = false;
             Answer answer = read(message);
             if (answer.result() == null) {
-                lost(answer.fault());
+                lost(answer.fault(), Outcome.ERROR);
                 return;
             }
             if (answer.result().seq() < seq) {
@@ -140,7 +142,7 @@
                 // list is then taken as it is: discovery may have lost its count.
                 String fault = "version " + answer.result().seq() + " after " + seq;
                 seq = NONE;
-                lost(fault);
+                lost(fault, Outcome.ERROR);
                 return;
             }
             seq = answer.result().seq();
@@ -157,16 +159,7 @@
         @Override
         public void broken(Outcome outcome) {
             end();
-            boolean first = outcome == Outcome.TIMEOUT && !silent;
-            silent = outcome == Outcome.TIMEOUT;
-            if (first && !clock.pushed()) {
-                // Silence says nothing of how busy discovery is: the watch is opened anew at once, elsewhere. Its
-                // connection is closed, and there is no other.
-                log.warn("the watch on " + discovery + " has fallen silent and is opened anew");
-                watch();
-            } else {
-                lost(outcome.toString());
-            }
+            lost(outcome.toString(), outcome);
         }
 
         private void end() {
@@ -174,12 +167,14 @@
             connection = null;
         }
 
-        private void lost(String why) {
-            log.warn("the watch on " + discovery + " is lost: " + why);
-            if (clock.pushed()) {
-                again();
-            } else {
+        private void lost(String why, Outcome outcome) {
+            long again = clock.again(outcome, silent, calledAt, loop.now());
+            silent = ListClock.unheard(outcome, silent);
+            log.warn("the watch on " + discovery + (silent ? " has fallen silent: " : " is lost: ") + why);
+            if (again == ListClock.NOT_HERE) {
                 listener.lost();
+            } else {
+                watchAt(again);
             }
         }
     }
--- a/src/test/java/loomreel/web/ListClockTest.java
+++ b/src/test/java/loomreel/web/ListClockTest.java
@@ -1,9 +1,12 @@
 package loomreel.web;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import loomreel.decision.Model.Outcome;
 import loomreel.decision.Model.Rules;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -42,4 +45,30 @@
         assertEquals(50_000, c.pace());
         assertTrue(c.hold() >= 50_000 && c.patience() >= 50_000, c.toString());
     }
+
+    /** A cut may last longer than a watch: from the first silence on, a call goes out every second or so until one is heard. */
+    @Test
+    void silenceIsAnsweredAtOnceAndThenAtAPaceWhateverComesOfIt() {
+        ListClock c = clock(3, true);
+        assertEquals(5_500_000, c.again(Outcome.TIMEOUT, false, 0, 5_500_000), "opened anew at once");
+        assertEquals(6_500_000, c.again(Outcome.CONNECT_FAILED, true, 5_500_000, 5_750_000), "no connection comes up either");
+        assertEquals(7_000_000, c.again(Outcome.TIMEOUT, true, 5_500_000, 7_000_000));
+        for (Outcome busy : new Outcome[] {Outcome.RESET, Outcome.ERROR}) {
+            assertEquals(ListClock.NOT_HERE, c.again(busy, true, 0, SECOND), "who answers so is to be spared");
+            assertFalse(ListClock.unheard(busy, true));
+        }
+        assertEquals(ListClock.NOT_HERE, c.again(Outcome.CONNECT_FAILED, false, 0, SECOND), "nobody listens: it is down");
+        assertTrue(ListClock.unheard(Outcome.CONNECT_FAILED, true));
+    }
+
+    @Test
+    void anAgentIsAskedAgainWhateverItDid() {
+        ListClock c = clock(0.5, false);
+        for (Outcome outcome : new Outcome[] {Outcome.RESET, Outcome.ERROR, Outcome.TIMEOUT, Outcome.CONNECT_FAILED}) {
+            for (boolean silent : new boolean[] {false, true}) {
+                assertEquals(100_000, c.again(outcome, silent, 0, 1000), outcome + " is paced");
+                assertEquals(300_000, c.again(outcome, silent, 0, 300_000), outcome + " after a while is asked at once");
+            }
+        }
+    }
 }
