--- a/src/main/java/loomreel/cli/Installations.java
+++ b/src/main/java/loomreel/cli/Installations.java
@@ -2,6 +2,9 @@
 
 import java.nio.file.Path;
 import java.security.SecureRandom;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
 import java.util.stream.Collectors;
 import loomreel.config.ConfigException;
 import loomreel.config.ServeConfig;
@@ -30,13 +33,25 @@
         return Running.run(DaemonConfig.of(installation, new SecureRandom().nextLong()), installation.faktory(), false, server -> {
             try {
                 Installation next = InstallationFile.read(file);
-                server.reloaded(DaemonConfig.of(next, 0), next.equals(installation));
+                server.reloaded(DaemonConfig.of(next, 0), fixedChanges(installation, next));
             } catch (CueException e) {
                 server.notReloaded(e.getMessage());
             }
         });
     }
 
+    /** What differs beside what a dispatcher's own configuration holds. */
+    private static List<String> fixedChanges(Installation before, Installation next) {
+        List<String> changed = new ArrayList<>();
+        if (!Objects.equals(before.faktory(), next.faktory())) {
+            changed.add("faktory");
+        }
+        if (!Objects.equals(before.workers(), next.workers())) {
+            changed.add("workers");
+        }
+        return changed;
+    }
+
     /** As {@code check}; the exit code. */
     static int check(Path file) {
         try {
--- a/src/main/java/loomreel/cli/Mixed.java
+++ b/src/main/java/loomreel/cli/Mixed.java
@@ -8,7 +8,7 @@
 
 /** Plays both protocols mixed, with troubles, and checks what must hold. */
 @Command(name = "mixed", description = "Plays clients and copy workers of both kinds against a daemon on loopback, kills "
-        + "workers, cuts connections, and checks that each job has one end and no issue ran twice. Exit code 1 if not.")
+        + "workers, cuts connections, and checks that each job has one end and nothing ran twice that must not. Exit code 1 if not.")
 final class Mixed implements Callable<Integer> {
     @Option(names = "--jobs", description = "how many (default ${DEFAULT-VALUE})")
     private int jobs = 12_000;
--- a/src/main/java/loomreel/config/ServeConfig.java
+++ b/src/main/java/loomreel/config/ServeConfig.java
@@ -5,6 +5,8 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import loomreel.decision.Model;
@@ -90,13 +92,21 @@
         return read(others);
     }
 
-    /** Whether another configuration is the same but for what may change while the program runs, or always does. */
-    public boolean restartsAs(ServeConfig other) {
-        return name.equals(other.name) && listen.equals(other.listen)
-                && Objects.equals(operators, other.operators) && sockets == other.sockets
-                && memory == other.memory && settings.equals(other.settings)
-                && connectWithin == other.connectWithin && idleFor == other.idleFor
-                && answerSlack == other.answerSlack;
+    /**
+     * What differs from another configuration beside what may change while the program runs, or always does.
+     *
+     * @return the names of the fields, as the file has them
+     */
+    public List<String> fixedChanges(ServeConfig other) {
+        Map<String, Boolean> same = new LinkedHashMap<>();
+        same.put("name", name.equals(other.name));
+        same.put("listen", listen.equals(other.listen));
+        same.put("mgmt", Objects.equals(operators, other.operators));
+        same.put("limits.sockets", sockets == other.sockets);
+        same.put("limits.memory_mb", memory == other.memory);
+        same.put("settings", settings.equals(other.settings) && connectWithin == other.connectWithin
+                && idleFor == other.idleFor && answerSlack == other.answerSlack);
+        return same.entrySet().stream().filter(e -> !e.getValue()).map(Map.Entry::getKey).toList();
     }
 
     private static String optional(Map<String, String> env, String variable, Object root, String field) {
--- a/src/main/java/loomreel/core/CallAttempt.java
+++ b/src/main/java/loomreel/core/CallAttempt.java
@@ -11,6 +11,8 @@
     public final long sentAt;
     /** When it stops waiting. */
     public final long deadline;
+    /** When its request has left whole at the latest, or never does. */
+    public final long startBy;
     final int number;
     private final String worker;
     private final Subchannel subchannel;
@@ -22,7 +24,8 @@
     private Outcome outcome;
     private boolean handedBack;
 
-    CallAttempt(Dispatcher dispatcher, Rpc rpc, String worker, Subchannel subchannel, long sentAt, long deadline) {
+    CallAttempt(Dispatcher dispatcher, Rpc rpc, String worker, Subchannel subchannel, long sentAt, long deadline,
+            long startBy) {
         this.dispatcher = dispatcher;
         this.rpc = rpc;
         this.number = rpc.attempts.size();
@@ -30,6 +33,7 @@
         this.subchannel = subchannel;
         this.sentAt = sentAt;
         this.deadline = deadline;
+        this.startBy = startBy;
     }
 
     void start() {
@@ -109,6 +113,16 @@
         dispatcher.ended(this, how, load);
     }
 
+    /**
+     * Takes it back where nothing of it can have run: its connection is not up yet, or has not taken the whole request.
+     * Whoever it was for may have gone, or the copy worker wants nothing new any more; sent later, it would begin then.
+     */
+    void takeBack() {
+        if (!hasEnded() && carrier != null && carrier.takeBack()) {
+            end(Outcome.MOOT, null);
+        }
+    }
+
     /** Stops waiting for it. */
     void cancel() {
         if (!hasEnded()) {
--- a/src/main/java/loomreel/core/Dispatcher.java
+++ b/src/main/java/loomreel/core/Dispatcher.java
@@ -136,6 +136,7 @@
         // The module first: what a source gives back must not be sent there again.
         tell(new Model.Down(worker));
         sources.forEach(s -> s.down(worker, true));
+        takeBack(worker);
     }
 
     /** A copy worker may serve again. */
@@ -266,6 +267,16 @@
         }
     }
 
+    /**
+     * A copy worker wants nothing new, and the module knows: what is on its way there and has not left whole does not go.
+     * Its connection may come up late, and by then the time in which it might still be sent to may be over.
+     */
+    public void takeBack(String worker) {
+        for (Rpc rpc : List.copyOf(rpcs.values())) {
+            rpc.takeBack(a -> a.worker().equals(worker));
+        }
+    }
+
     /** Every event goes through here, one at a time. */
     private void tell(Event event) {
         events.add(event);
@@ -338,7 +349,8 @@
         Subchannel subchannel = find(send.worker());
         boolean moot = rpc.isOver() || rpc.attempts.size() >= settings.limits().maxAttempts()
                 || loop.now() >= until || rpc.openAt(send.worker()) != null;
-        CallAttempt attempt = new CallAttempt(this, rpc, send.worker(), subchannel, loop.now(), until);
+        CallAttempt attempt = new CallAttempt(this, rpc, send.worker(), subchannel, loop.now(), until,
+                Math.min(until, send.startBy()));
         rpc.attempts.add(attempt);
         if (moot) {
             attempt.end(Outcome.MOOT, null);
--- a/src/main/java/loomreel/core/Rpc.java
+++ b/src/main/java/loomreel/core/Rpc.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Predicate;
 import loomreel.decision.Model.Outcome;
 import loomreel.io.Bytes;
 
@@ -115,11 +116,20 @@
         }
     }
 
-    /** Marks it over without an answer: the caller has gone. */
+    /** Marks it over without an answer: the caller has gone. What has not left yet for it does not any more. */
     boolean end() {
         boolean first = !over;
         over = true;
         body.release();
+        if (first) {
+            takeBack(a -> true);
+        }
         return first;
     }
+
+    /** Takes back those of its attempts whose request has not left whole. */
+    void takeBack(Predicate<CallAttempt> which) {
+        // What is told of one may have another one made.
+        List.copyOf(attempts).stream().filter(which).forEach(CallAttempt::takeBack);
+    }
 }
--- a/src/main/java/loomreel/core/Subchannel.java
+++ b/src/main/java/loomreel/core/Subchannel.java
@@ -6,6 +6,15 @@
     interface Carrier {
         /** Stops waiting: what has not gone out does not, and what has is asked to end. */
         void cancel();
+
+        /**
+         * Stops it if its request has not left whole, so that it never ran and never will; else changes nothing.
+         *
+         * @return whether it was stopped
+         */
+        default boolean takeBack() {
+            return false;
+        }
     }
 
     /**
--- a/src/main/java/loomreel/decision/Book.java
+++ b/src/main/java/loomreel/decision/Book.java
@@ -63,7 +63,7 @@
     private final Fading reportedHeld;
     private final Fading heldOwn;
     final Bucket[] tenants;
-    long askBackoff;
+    final AskClock ask;
     private long warm;
     private long warmAt = NEVER;
     private long warmVersion;
@@ -72,6 +72,7 @@
         startedAt = now;
         this.memory = memory;
         rules = settings.rules();
+        ask = new AskClock(rules);
         shortestTarget = settings.classes().stream().mapToLong(RequestClass::target).min().orElse(1_000_000);
         meanRun = settings.classes().stream().mapToDouble(RequestClass::target).toArray();
         probeTime = settings.tick() * 2;
@@ -422,6 +423,12 @@
             this.token = token;
         }
 
+        /** Until when the workers tell a repeat of what may have run: for ever where none may have, or none need. */
+        long repeatableUntil(long tick) {
+            long sent = attempts.stream().filter(a -> !a.neverRan).mapToLong(a -> a.sentAt).min().orElse(NEVER);
+            return repeat != Repeat.GUARDED || sent == NEVER ? Long.MAX_VALUE : sent + type.window() - 2 * tick;
+        }
+
         boolean anyOpen() {
             return attempts.stream().anyMatch(a -> a.open);
         }
--- a/src/main/java/loomreel/decision/Brain.java
+++ b/src/main/java/loomreel/decision/Brain.java
@@ -125,7 +125,7 @@
         } else if (event instanceof Part mine) {
             part = mine.part();
         } else if (event instanceof ListLost) {
-            ask(true);
+            askAt(book.ask.again(now, random));
         } else if (event instanceof Stop) {
             settings = null;
         }
@@ -146,19 +146,12 @@
         book.meanWait = book.shortestTarget / 16.0;
         book.waitSpread = book.meanWait;
         book.rebuild();
-        ask(false);
+        askAt(book.ask.first(now, random));
     }
 
-    /**
-     * Nodes that start together must not ask together, but soon: one that was killed starts with a list as
-     * old as its life, and sends by that. After a failure each waits longer, within the rule's time.
-     */
-    private void ask(boolean failed) {
+    private void askAt(long time) {
         if (settings.mustAsk()) {
-            long most = settings.rules().askWithin() * 6 / 10;
-            book.askBackoff = failed ? Math.min(2 * book.askBackoff + most / 4, most) : 0;
-            long half = book.askBackoff / 2;
-            actions.add(new Timer(now + half + random.nextLong(1 + (failed ? half : most / 4)), ASK));
+            actions.add(new Timer(time, ASK));
         }
     }
 
@@ -173,7 +166,7 @@
             }
             w.entry = entry;
         }
-        book.askBackoff = 0;
+        book.ask.answered();
         book.workers.values().removeIf(w -> w.entry.state() == State.GONE);
         book.rebuild();
         entries.forEach(this::released);
@@ -233,7 +226,12 @@
     }
 
     private void place(Request r) {
-        if (r.ended || r.probesOut > 0 || !maySend(r)) {
+        if (r.ended || r.probesOut > 0) {
+            return;
+        }
+        if (!maySend(r)) {
+            // While it waited the time was over in which its repeats are told.
+            giveUpUnlessOpen(r);
             return;
         }
         if (now >= r.giveUpAt) {
@@ -438,7 +436,8 @@
 
     /** The first two rules, as far as they hold for any worker. */
     private boolean maySend(Request r) {
-        boolean may = r.attempts.size() < settings.limits().maxAttempts() && now < r.lastMoment;
+        boolean may = r.attempts.size() < settings.limits().maxAttempts()
+                && now < Math.min(r.lastMoment, r.repeatableUntil(settings.tick()));
         for (Attempt a : r.attempts) {
             may &= (!a.open || settings.limits().secondCopies())
                     && (a.neverRan || r.repeat != Repeat.SINGLE_SHOT);
@@ -451,21 +450,20 @@
         boolean may = w.entry.state() == State.READY && book.workers.get(w.id) == w;
         for (Attempt a : r.attempts) {
             may &= a.neverRan || a.worker != w && (r.repeat != Repeat.GUARDED
-                    || r.type.group().joins(a.worker.entry, w.entry)
-                    && now < a.sentAt + r.type.window() - 2 * settings.tick());
+                    || r.type.group().joins(a.worker.entry, w.entry));
         }
         return may;
     }
 
     /** The only place that sends. */
     private void send(Request r, Worker w) {
+        actions.add(new Send(r.arrival.request(), w.id, 0, r.repeatableUntil(settings.tick())));
         Attempt attempt = new Attempt(r, w, now);
         r.attempts.add(attempt);
         w.open.add(attempt);
         w.ownSince.add(r.arrival.slots(), now);
         w.cold.take(book.coldCost(r));
         book.workSent.add(book.work(r), now);
-        actions.add(new Send(r.arrival.request(), w.id, 0));
         if (settings.tellsStart()) {
             wake(r, now + (long) book.patience() + settings.tick());
             wake(r, r.giveUpAt);
@@ -530,8 +528,8 @@
             end(r, null);
         } else if (maySend(r)) {
             anew(r);
-        } else if (!r.anyOpen()) {
-            giveUp(r, Why.NO_OTHER_ATTEMPT);
+        } else {
+            giveUpUnlessOpen(r);
         }
         book.forget(r);
         released(w.entry);
@@ -583,6 +581,7 @@
 
     private void timer(long token) {
         if (token == ASK) {
+            book.ask.asked(now);
             actions.add(new Subscribe());
         } else if (token == POLL) {
             book.polling = false;
@@ -620,6 +619,12 @@
         }
     }
 
+    private void giveUpUnlessOpen(Request r) {
+        if (!r.anyOpen()) {
+            giveUp(r, Why.NO_OTHER_ATTEMPT);
+        }
+    }
+
     private void cancel(Request r, int number) {
         Attempt a = r.attempts.get(number);
         if (a.open && !a.cancelled && settings.limits().cancelling()) {
--- a/src/main/java/loomreel/decision/Model.java
+++ b/src/main/java/loomreel/decision/Model.java
@@ -69,7 +69,22 @@
      * @param fallWithin for this long
      */
     public record Rules(long stopSendingWithin, long askWithin, double coldFrom, long coldFor, double tipMultiple,
-            long fallWithin) { }
+            long fallWithin) {
+        /** A change counts as told so long after discovery had it and could be reached, whatever came of our calls. */
+        private static final long TOLD_AFTER = 6_000_000;
+        /** A call to discovery that is answered at all is answered within this time, or given up. */
+        private static final long CALL = 1_500_000;
+
+        /**
+         * The longest that a node waits after a failed call to discovery before it makes the next one. The rule on leaving
+         * workers breaks {@link #TOLD_AFTER} and the grace after discovery can be reached again. Two waits and two calls
+         * have to fit into that, for the first call after an outage may be one too many for discovery; and it stays under
+         * the time in which a node has to ask.
+         */
+        public long askAgainWithin() {
+            return Math.min(askWithin * 6 / 10, (TOLD_AFTER + stopSendingWithin) / 2 - CALL);
+        }
+    }
 
     /** What the site allows. */
     public record Limits(int maxAttempts, boolean secondCopies, boolean cancelling, boolean probing,
@@ -179,8 +194,13 @@
     /** Something a node does. */
     public sealed interface Action { }
 
-    /** Sends an attempt; those of one request are numbered from 0. {@code timeout} 0: until the client gives up. */
-    public record Send(String request, String worker, long timeout) implements Action { }
+    /**
+     * Sends an attempt; those of one request are numbered from 0.
+     *
+     * @param timeout how long it is waited for; 0 until the client gives up
+     * @param startBy when it has left whole at the latest, or does not leave: a repeat is told only so long
+     */
+    public record Send(String request, String worker, long timeout, long startBy) implements Action { }
 
     /** Stops waiting for an attempt; no proof that it did not run. */
     public record Cancel(String request, int attempt) implements Action { }
--- a/src/main/java/loomreel/faktory/FaktoryWorkers.java
+++ b/src/main/java/loomreel/faktory/FaktoryWorkers.java
@@ -274,7 +274,7 @@
                 attempt.end(Outcome.FULL, report());
                 return null;
             }
-            EventLoop.Timer unfetched = loop.at(attempt.deadline, () -> {
+            EventLoop.Timer unfetched = loop.at(attempt.startBy, () -> {
                 if (handOver.takeBack(item)) {
                     attempt.end(Outcome.CONNECT_FAILED, null);
                 } else if (item.place() == HandOver.Place.WRITING) {
@@ -287,9 +287,21 @@
                     ((FaktoryConnection) c).offer();
                 }
             }
-            return () -> {
-                unfetched.cancel();
-                handOver.takeBack(item);
+            return new Carrier() {
+                @Override
+                public void cancel() {
+                    unfetched.cancel();
+                    handOver.takeBack(item);
+                }
+
+                @Override
+                public boolean takeBack() {
+                    boolean back = handOver.takeBack(item);
+                    if (back) {
+                        unfetched.cancel();
+                    }
+                    return back;
+                }
             };
         }
 
--- a/src/main/java/loomreel/http/HttpConnection.java
+++ b/src/main/java/loomreel/http/HttpConnection.java
@@ -26,6 +26,9 @@
     /** A whole message has come. */
     protected abstract void received(Message message);
 
+    /** The head of a response has come without the end of its body; told once for each. */
+    protected void headed(int status) { }
+
     /** The bytes that come are no message. */
     protected abstract void malformed(BadMessageException why);
 
@@ -42,9 +45,14 @@
                 surplus = in.hasRemaining();
                 if (message != null) {
                     received(message);
+                } else if (parser.takesHeadOnly()) {
+                    headed(parser.status());
                 }
             }
         } catch (BadMessageException e) {
+            if (parser.takesHeadOnly()) {
+                headed(parser.status());
+            }
             malformed(e);
         }
     }
--- a/src/main/java/loomreel/http/KeepAlive.java
+++ b/src/main/java/loomreel/http/KeepAlive.java
@@ -16,7 +16,7 @@
     private static final double DOUBLES_IN = 20_000_000;
 
     /** An answer that comes twice comes again within this time; for so long such peers are not trusted. */
-    private static final long REST = 20_000;
+    static final long REST = 20_000;
     private static final long WARY_FOR = 10_000_000;
 
     private final long most;
--- a/src/main/java/loomreel/http/MessageParser.java
+++ b/src/main/java/loomreel/http/MessageParser.java
@@ -29,6 +29,8 @@
     private List<String> headers;
     private Bytes body;
     private boolean keepAlive;
+    /** Whether the head of the message that is being read has come, and nobody has been told. */
+    private boolean headParsed;
     private int left;
 
     /**
@@ -46,6 +48,18 @@
         return part == Part.HEAD && head == null;
     }
 
+    /** Whether a response's head has come without the rest, and this is asked for the first time. */
+    boolean takesHeadOnly() {
+        boolean told = !requests && headParsed;
+        headParsed = false;
+        return told;
+    }
+
+    /** Of the response whose head has come. */
+    int status() {
+        return Integer.parseInt(first[1]);
+    }
+
     /** Whether the head has come and asks for an interim response before the body. */
     public boolean expectsContinue() {
         return part != Part.HEAD && body.length() == 0 && "100-continue".equalsIgnoreCase(Message.find(headers, "expect"));
@@ -135,6 +149,7 @@
         body = null;
         line.setLength(0);
         trailer = 0;
+        headParsed = false;
         return message;
     }
 
@@ -203,6 +218,8 @@
     /** Finds out how the body is framed; false where there is none. An interim response is passed over. */
     private boolean beginBody() throws BadMessageException {
         body = new Bytes(pool);
+        int status = requests ? 200 : Integer.parseInt(first[1]);
+        headParsed = status / 100 != 1;
         String length = null;
         String coding = null;
         for (int i = 0; i < headers.size(); i += 2) {
@@ -216,8 +233,7 @@
                 coding = coding == null ? value : coding + ", " + value;
             }
         }
-        int status = requests ? 200 : Integer.parseInt(first[1]);
-        if (status / 100 == 1) {
+        if (!headParsed) {
             return true;
         }
         if (status == 204 || status == 304) {
--- a/src/main/java/loomreel/http/Peer.java
+++ b/src/main/java/loomreel/http/Peer.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Iterator;
 import loomreel.decision.Model.Outcome;
 import loomreel.io.BoundedLog;
 import loomreel.io.Bytes;
@@ -118,16 +119,16 @@
      */
     private PeerConnection rested() {
         long rest = keepAlive.rest(loop.now());
-        while (!idle.isEmpty()) {
-            PeerConnection next = rest == 0 ? idle.peekLast() : idle.peekFirst();
-            if (loop.now() - next.idleSince < rest) {
-                return null;
-            }
-            idle.remove(next);
-            if (next.isQuiet()) {
-                return next;
+        Iterator<PeerConnection> candidates = rest == 0 ? idle.descendingIterator() : idle.iterator();
+        while (candidates.hasNext()) {
+            PeerConnection next = candidates.next();
+            if (loop.now() - next.idleSince >= Math.max(rest, next.rest)) {
+                candidates.remove();
+                if (next.isQuiet()) {
+                    return next;
+                }
+                next.close();
             }
-            next.close();
         }
         return null;
     }
@@ -137,13 +138,18 @@
         keepAlive.surplus(loop.now());
     }
 
-    /** A connection has carried its exchange to the end. */
-    void free(PeerConnection connection) {
+    /**
+     * A connection has carried its exchange to the end.
+     *
+     * @param harmless whether its last answer, come once more, would say nothing wrong of the next request
+     */
+    void free(PeerConnection connection, boolean harmless) {
         if (connection.generation != generation || descriptors.open > descriptors.most) {
             connection.close();
             return;
         }
         connection.idleSince = loop.now();
+        connection.rest = harmless ? 0 : KeepAlive.REST;
         idle.addLast(connection);
         descriptors.idle.addLast(connection);
     }
--- a/src/main/java/loomreel/http/PeerConnection.java
+++ b/src/main/java/loomreel/http/PeerConnection.java
@@ -13,6 +13,8 @@
     /** Counts the restarts and moves of the peer: what was opened before one is not used after it. */
     final int generation;
     long idleSince;
+    /** How long it must have lain idle before it is used again. */
+    long rest;
     private final Peer peer;
     private Exchange exchange;
     private long carriedAt;
@@ -51,7 +53,7 @@
         idleBefore = idleSince == 0 ? 0 : carriedAt - idleSince;
         out.append(request);
         request.release();
-        timer = loop.at(isUp() ? next.deadline() : Math.min(upBy, next.deadline()), this::due);
+        timer = loop.at(isUp() ? next.startBy() : Math.min(upBy, next.startBy()), this::due);
         flush();
     }
 
@@ -67,7 +69,7 @@
 
     /** A machine that says nothing costs no more than the deadline. */
     private void due() {
-        Outcome outcome = isUp() && out.length() == 0 ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED;
+        Outcome outcome = hasSent() ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED;
         finish(outcome);
         // Others to this machine are likely as dead, and reset once it is back: nothing more is written to them.
         peer.closeIdle();
@@ -89,6 +91,11 @@
         }
     }
 
+    /** Whether the request has left whole: from there on it may have run. */
+    public boolean hasSent() {
+        return isUp() && out.length() == 0;
+    }
+
     /** Gives the exchange up; the other side sees the connection close. */
     public void abandon() {
         exchange = null;
@@ -117,7 +124,7 @@
             close();
         } else {
             timer.cancel();
-            peer.free(this);
+            peer.free(this, message.status() / 100 == 2);
         }
         if (ended != null) {
             ended.answered(message);
@@ -125,6 +132,20 @@
         message.body().release();
     }
 
+    /** What follows the head is waited for no longer than a connection may take to come up, and twice that at most. */
+    @Override
+    protected void headed(int status) {
+        if (exchange != null && out.length() == 0 && exchange.suffices(status)) {
+            timer.cancel();
+            timer = loop.at(Math.min(exchange.deadline(), loop.now() + 2 * peer.connectWithin()), this::due);
+        }
+    }
+
+    /** Reads what has come by now, so that what is given up is known as it stands. */
+    public void look() {
+        readNow();
+    }
+
     @Override
     protected void malformed(BadMessageException why) {
         peer.log.warn(peer + " answers what is not HTTP: " + why.getMessage());
@@ -137,7 +158,7 @@
         if (exchange != null && parser.atStart() && loop.now() - carriedAt <= peer.connectWithin()) {
             peer.usedAgain(idleBefore, true);
         }
-        finish(isUp() && out.length() == 0 ? Outcome.RESET : Outcome.CONNECT_FAILED);
+        finish(hasSent() ? Outcome.RESET : Outcome.CONNECT_FAILED);
     }
 
     @Override
--- a/src/main/java/loomreel/io/ByteConnection.java
+++ b/src/main/java/loomreel/io/ByteConnection.java
@@ -59,23 +59,23 @@
                 flush();
             }
             if (!closed && selected.isReadable()) {
-                read();
+                read(loop.scratch.clear());
             }
         } catch (IOException e) {
             fail();
         }
     }
 
-    private void read() throws IOException {
-        ByteBuffer in = loop.scratch.clear();
+    private int read(ByteBuffer in) throws IOException {
         int size = channel.read(in);
         in.flip();
         if (size >= 0) {
             take(in);
-            return;
+        } else {
+            ended();
+            fail();
         }
-        ended();
-        fail();
+        return size;
     }
 
     /** Writes as much as goes; the rest follows when the channel takes it. */
@@ -105,12 +105,20 @@
         }
     }
 
-    /** Reads what has come before the selector has said so. */
-    public final void readNow() {
+    /**
+     * Reads what has come before the selector has said so; the loop's own buffer may be in use just now.
+     *
+     * @return whether something has, and there may be more; not at the end, after which it is closed
+     */
+    public final boolean readNow() {
+        ByteBuffer in = loop.pool.take();
         try {
-            read();
+            return read(in) > 0;
         } catch (IOException e) {
             fail();
+            return false;
+        } finally {
+            loop.pool.give(in);
         }
     }
 
--- a/src/main/java/loomreel/io/EventLoop.java
+++ b/src/main/java/loomreel/io/EventLoop.java
@@ -1,5 +1,6 @@
 package loomreel.io;
 
+import java.io.Closeable;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
@@ -9,7 +10,7 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 
 /** One thread, one selector, one clock. Everything that a dispatcher holds belongs to this thread. */
-public final class EventLoop {
+public final class EventLoop implements Closeable {
     /** Something that waits for its channel. */
     public interface Handler {
         void ready(SelectionKey key);
@@ -139,6 +140,15 @@
         longest = Math.max(longest, clock() - now);
     }
 
+    /** Ends every connection and listener that is left, after the last turn. */
+    @Override
+    public void close() throws IOException {
+        for (SelectionKey key : selector.keys()) {
+            key.channel().close();
+        }
+        selector.close();
+    }
+
     /** The longest turn since this was last asked for: how long the sockets had to wait. */
     public long takeLongestTurn() {
         long turn = longest;
--- a/src/main/java/loomreel/io/Trace.java
+++ b/src/main/java/loomreel/io/Trace.java
@@ -9,9 +9,9 @@
 /**
  * What one dispatcher sees and does, a JSON object a line, for {@code loomreel tally} to add up over a fleet. It is off
  * unless asked for: {@link EventLoop#trace} is null then, and whoever would write a line looks at that first, so that
- * nothing is made for it. For the loop's thread only.
+ * nothing is made for it. For the loop's thread only. A test may take each line as a step between which something happens.
  */
-public final class Trace {
+public class Trace {
     private final JsonGenerator json;
 
     /** Writes to a stream, which it flushes once a turn of the loop and never closes. */
--- a/src/main/java/loomreel/server/Server.java
+++ b/src/main/java/loomreel/server/Server.java
@@ -1,6 +1,7 @@
 package loomreel.server;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
 import java.nio.channels.ServerSocketChannel;
 import java.util.ArrayList;
@@ -55,6 +56,7 @@
     private final EventLoop loop;
     private final Dispatcher dispatcher;
     private final HttpWorkers workers;
+    private final ServerSocketChannel listener;
     private final HttpFront front;
     /** Null where it is not set: its classes stay unloaded then. */
     private final FaktoryFront faktory;
@@ -81,7 +83,7 @@
         workers = new HttpWorkers(dispatcher, config.known(), config.discovery(), config.settings(),
                 config.connectWithin(), config.idleFor());
         dispatcher.add(workers);
-        ServerSocketChannel listener = config.inherited() ? inherited() : bound(config);
+        listener = config.inherited() ? inherited() : bound(config);
         listener.configureBlocking(false);
         life = new Lifecycle(dispatcher, config.directory() == null ? null
                 : config.directory().resolve(config.name().replaceAll("[^A-Za-z0-9_-]", "_")), config.inherited(), this);
@@ -131,6 +133,15 @@
         front.room(sockets - calls, granted);
     }
 
+    /**
+     * Where clients and call-backs come in.
+     *
+     * @throws IOException if it is closed
+     */
+    public int port() throws IOException {
+        return ((InetSocketAddress) listener.getLocalAddress()).getPort();
+    }
+
     /** The loop that all of it runs on. */
     public EventLoop loop() {
         return loop;
@@ -158,7 +169,7 @@
 
     @Override
     public void letClientsGo() {
-        front.closeIdle(false);
+        front.letIdleClientsGo();
     }
 
     @Override
@@ -234,6 +245,13 @@
      */
     public void drain() {
         loop.post(() -> {
+            if (leaveBy != Long.MAX_VALUE) {
+                // Asked again: the time to the end runs since the first time.
+                return;
+            }
+            if (loop.trace != null) {
+                loop.trace.line(loop.now(), "drain");
+            }
             boolean replaced = life.hasSuccessor();
             log.info("asked to stop: draining" + (replaced ? ", the successor accepts" : ""));
             if (replaced) {
@@ -250,15 +268,14 @@
             dispatcher.leaveBy(leaveBy);
             loop.at(loop.now() + Math.min(replaced ? KEEP_IDLE : STAY, longest), () -> {
                 closing = true;
-                front.leave();
                 leaveWhenEmpty();
             });
         });
     }
 
     /**
-     * Reads the configuration again, on the loop's thread. Discovery's address is taken over; what else has changed
-     * holds from the next start on. A file that is no good changes nothing. Any thread may call this.
+     * Reads the configuration again, on the loop's thread. Discovery's address is taken over. A file that is no good, or
+     * that changes what only a start may change, may be another installation's: it changes nothing. Any thread may call this.
      *
      * @param env the environment
      */
@@ -266,7 +283,7 @@
         loop.post(() -> {
             try {
                 ServeConfig next = ServeConfig.reread(env);
-                take(next, next.restartsAs(config));
+                take(next, next.fixedChanges(config));
             } catch (ConfigException e) {
                 refuse(e.getMessage());
             }
@@ -276,10 +293,14 @@
     /**
      * Takes over what can be taken over of a configuration that has been read again. Any thread may call this.
      *
-     * @param same whether nothing else has changed
+     * @param more the names of further fields that have changed, and may not
      */
-    public void reloaded(ServeConfig next, boolean same) {
-        loop.post(() -> take(next, same));
+    public void reloaded(ServeConfig next, List<String> more) {
+        loop.post(() -> {
+            List<String> changed = new ArrayList<>(next.fixedChanges(config));
+            changed.addAll(more);
+            take(next, changed);
+        });
     }
 
     /** A configuration that was read again is no good. Any thread may call this. */
@@ -287,15 +308,23 @@
         loop.post(() -> refuse(why));
     }
 
-    private void take(ServeConfig next, boolean same) {
+    private void take(ServeConfig next, List<String> changed) {
+        if (!changed.isEmpty()) {
+            refuse("it changes " + String.join(", ", changed) + ", and only a start may");
+            return;
+        }
         dispatcher.figures.reconfigured(true);
-        log.info("configuration read again: discovery at " + next.discovery()
-                + (same ? "" : "; the other changes wait for the next start"));
+        log.info("configuration read again: discovery at " + next.discovery());
         if (next.discovery() != null) {
-            workers.moveDiscovery(next.discovery());
+            moveDiscovery(next.discovery());
         }
     }
 
+    /** The list is watched at this address from now on; for the loop's thread only. */
+    public void moveDiscovery(InetSocketAddress address) {
+        workers.moveDiscovery(address);
+    }
+
     private void refuse(String why) {
         dispatcher.figures.reconfigured(false);
         log.warn("the new configuration is no good, the old one stays: " + why);
@@ -307,9 +336,13 @@
     }
 
     private void leaveWhenEmpty() {
+        front.leave();
         // Whoever sends one request behind the other is answered to the end, and holds up nothing beyond it.
         boolean owes = front.owes() && loop.now() < leaveBy + LAST_ANSWERS;
         if (dispatcher.isEmpty() && !owes && (faktory == null || !faktory.owes() || loop.now() >= leaveBy)) {
+            if (loop.trace != null) {
+                loop.trace.line(loop.now(), "stop");
+            }
             loop.stop();
         } else {
             loop.at(loop.now() + LOOK_EVERY, this::leaveWhenEmpty);
--- a/src/main/java/loomreel/web/ClientConnection.java
+++ b/src/main/java/loomreel/web/ClientConnection.java
@@ -12,6 +12,8 @@
 import loomreel.http.Heads;
 import loomreel.http.HttpConnection;
 import loomreel.http.Message;
+import loomreel.http.MessageParser;
+import loomreel.io.BufferPool;
 import loomreel.io.Bytes;
 import loomreel.io.EventLoop;
 
@@ -24,7 +26,12 @@
     private static final long PATIENCE = 2_000_000;
     /** Whoever repeats at once what was wrong is read no more often than this. */
     private static final long PAUSE = 100_000;
-    /** What a client may still send after its last answer; then it is read no more, which costs nothing. */
+    /** What is kept of what comes behind a request that is not answered yet: another whole one. */
+    private static final int AHEAD_MOST = MessageParser.MAX_BODY + BufferPool.SIZE;
+    /**
+     * What is read and thrown away: after the last answer, and of what comes beyond that behind a request. Whoever still
+     * sends more than this is read no more, which costs nothing.
+     */
     private static final int DISCARD_MOST = 256 * 1024;
     /** No machine has more; a job that asks for more is a mistake. */
     private static final int MOST_SLOTS = 1024;
@@ -34,6 +41,8 @@
     private Rpc rpc;
     /** What has come behind a request that is not answered yet. */
     private final Bytes ahead;
+    /** What the message that is being received came from, and what is behind it. */
+    private ByteBuffer reading;
     private boolean answering;
     private boolean lastAnswer;
     /** Our side is closed; what still comes is thrown away until the other side closes too. */
@@ -57,7 +66,7 @@
     }
 
     /** Whether something of an answer is owed or under way. */
-    boolean owes() {
+    private boolean owes() {
         return rpc != null || answering;
     }
 
@@ -74,6 +83,7 @@
             return;
         }
         if (!owes()) {
+            reading = in;
             super.take(in);
             if (timer == null && !isClosed() && !owes() && !leaving && !parser.atStart()) {
                 front.busy(this);
@@ -86,10 +96,25 @@
         }
         // One request at a time: what came behind waits until it is answered.
         if (!isClosed() && !leaving) {
+            keep(in);
+        }
+    }
+
+    /**
+     * Keeps what came behind a request; beyond a bound none of it is, and the answer that is owed is the last one. It is
+     * read all the same: behind it lies the end of a client that has gone, and nothing may be sent for that any more.
+     */
+    private void keep(ByteBuffer in) {
+        if (discarded == 0 && ahead.length() + in.remaining() <= (loop.pool.scarce() ? BufferPool.SIZE : AHEAD_MOST)) {
             ahead.append(in, in.remaining());
+            return;
         }
-        if (ahead.length() >= loop.scratch.capacity()) {
-            pauseReading(true);
+        discarded += ahead.length() + in.remaining();
+        ahead.release();
+        lastAnswer = true;
+        if (discarded > DISCARD_MOST && rpc != null) {
+            broken();
+            refuse(413);
         }
     }
 
@@ -160,6 +185,10 @@
             return;
         }
         front.known(this);
+        if (!isThere()) {
+            message.body().release();
+            return;
+        }
         long due = loop.now() + 1000 * Long.parseLong(budget);
         String key = message.header("idempotency-key");
         rpc = new Rpc(id, requestClass, message.target(), null, key, message.body(), due, this,
@@ -169,6 +198,20 @@
                 "1".equals(message.header("x-again")), cost, null, key != null));
     }
 
+    /**
+     * Whether the client has not gone before its request was read: all that has come by now is read first. What its
+     * buffer still held of this request's read comes before that.
+     */
+    private boolean isThere() {
+        if (surplus) {
+            keep(reading);
+        }
+        while (!isClosed() && !leaving && discarded <= DISCARD_MOST && readNow()) {
+            // There may be more.
+        }
+        return !isClosed() && !leaving;
+    }
+
     /** The slots that a job needs: 1 where it does not say; below 0 where what it says is no such number. */
     private static double slots(String info) {
         if (info != null) {
@@ -262,7 +305,6 @@
         }
         stopTimer();
         if (lastAnswer) {
-            answering = false;
             leave();
         } else if (wrong) {
             timer = loop.at(loop.now() + PAUSE, this::next);
@@ -273,11 +315,14 @@
 
     private void next() {
         timer = null;
+        if (lastAnswer) {
+            leave();
+            return;
+        }
         answering = false;
         if (ahead.length() > 0) {
             byte[] next = ahead.toArray();
             ahead.release();
-            pauseReading(false);
             // At once: what is read from the channel next came after it.
             take(ByteBuffer.wrap(next));
         }
@@ -286,16 +331,47 @@
         }
     }
 
+    /**
+     * Ends it from this side between two requests, so that nothing is crossed that can be helped: what has come is read
+     * first, and a request that is whole is served. Otherwise our side is shut, and the other one is read, and not heard,
+     * until it ends or {@link #PATIENCE} is over.
+     *
+     * @param begun whether one of which half a request has come ends as well; else the rest of that is waited for
+     */
+    void letGo(boolean begun) {
+        if (isClosed() || owes() || leaving) {
+            return;
+        }
+        step("letgo");
+        readNow();
+        if (isClosed() || owes() || leaving) {
+            return;
+        }
+        if (parser.atStart()) {
+            leave();
+        } else if (begun) {
+            refuse(408);
+        }
+    }
+
     /** Closing at once would reset the connection if anything has come unread, and the answer could be lost. */
     private void leave() {
+        answering = false;
         leaving = true;
         front.leaving(this);
+        step("shut");
         endOutput();
         if (!isClosed()) {
             within();
         }
     }
 
+    private void step(String what) {
+        if (loop.trace != null) {
+            loop.trace.line(loop.now(), what);
+        }
+    }
+
     @Override
     protected void broken() {
         if (rpc != null) {
--- a/src/main/java/loomreel/web/HttpFront.java
+++ b/src/main/java/loomreel/web/HttpFront.java
@@ -7,6 +7,7 @@
 import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.Map;
@@ -49,6 +50,8 @@
      * third of the descriptors at most, and what they keep for nothing they lack for the next job.
      */
     private static final double IDLE = 1 / 8.0;
+    /** The part of what comes in that is kept free, so that those who are let go have the time to end their side. */
+    private static final double SPARE = 1 / 16.0;
     private static final int ACCEPT_AT_ONCE = 64;
     private static final long ACCEPT_AGAIN = 100_000;
 
@@ -63,8 +66,10 @@
     private int most = Integer.MAX_VALUE;
     private int mostIdle = Integer.MAX_VALUE;
     private final Set<ClientConnection> clients = new LinkedHashSet<>();
-    /** Those that have brought neither a job nor news so far, or are leaving, and since when; the oldest first. */
+    /** Those that have brought neither a job nor news so far, and since when; the oldest first. */
     private final Map<ClientConnection, Long> strangers = new LinkedHashMap<>();
+    /** Those whose end from this side is shut and whose other end is awaited, and since when; the oldest first. */
+    private final Map<ClientConnection, Long> leaving = new LinkedHashMap<>();
     /** Those without a request, the longest idle first. */
     private final Set<ClientConnection> idle = new LinkedHashSet<>();
     private int accepted;
@@ -107,7 +112,7 @@
     public void room(int connections, int granted) {
         most = connections;
         mostIdle = (int) Math.max(4, granted * IDLE);
-        for (int over = clients.size() - most; over > 0 && accepting && !paused; over--) {
+        if (accepting && !paused) {
             makeRoom();
         }
     }
@@ -118,29 +123,31 @@
         key.cancel();
     }
 
-    /** Ends the idle connections of clients; copy workers keep theirs where {@code newsToo} is not set. */
-    public void closeIdle(boolean newsToo) {
-        new ArrayList<>(idle).stream().filter(c -> newsToo || !c.bringsNews()).forEach(ClientConnection::close);
+    /** Ends the idle connections of clients; copy workers keep theirs. */
+    public void letIdleClientsGo() {
+        new ArrayList<>(idle).stream().filter(c -> !c.bringsNews()).forEach(c -> c.letGo(false));
     }
 
     /**
-     * What is idle ends; each answer from now on is the last one on its connection. A request that has come and was
-     * not read yet is read and served: the close would cross it.
+     * All that rests ends; each answer from now on is the last one on its connection. One that was opened a moment ago is
+     * given the time to say why, so this is to be called again until nobody is left.
      */
     @Override
     public void leave() {
-        new ArrayList<>(idle).forEach(ClientConnection::readNow);
-        closeIdle(true);
+        new ArrayList<>(clients).stream().filter(c -> strangers.getOrDefault(c, 0L) + FRESH_FOR <= loop.now())
+                .forEach(c -> c.letGo(false));
     }
 
+    /** Whether somebody has no answer, or may not have read it yet: the end of the process would take that along. */
     @Override
     public boolean owes() {
-        return clients.stream().anyMatch(ClientConnection::owes);
+        return !clients.isEmpty();
     }
 
     @Override
     public String summary() {
         return "connections " + clients.size() + ", of no use so far " + strangers.size() + ", idle " + idle.size()
+                + ", leaving " + leaving.size()
                 + "; in all: accepted " + accepted + ", closed for room: of no use " + strangersClosed + ", idle "
                 + idleClosed + "; too slow " + tooLate + ", jobs without room " + noRoom;
     }
@@ -190,37 +197,62 @@
         } catch (IOException e) {
             channel.close();
         }
-        if (clients.size() >= most) {
-            makeRoom();
-        }
+        makeRoom();
     }
 
     /**
-     * Closes the oldest connection that never said anything of use. Whoever opens connections by the hundred must not
-     * push out those that bring jobs and news, nor a new one whose first request may be here, unread. Where the
-     * known ones are more than their part, the longest idle goes, or there would be no room to tell the two apart.
+     * Keeps some room free by letting go of those that can be spared, and accepts no more while there is none: the other
+     * side of one that is let go has a while to end its own, or what it has not read yet would be lost.
      */
     private void makeRoom() {
-        if (!idle.isEmpty() && (strangers.isEmpty() || clients.size() - strangers.size() > most * KNOWN)) {
-            closeLongestIdle();
-        } else if (!strangers.isEmpty()) {
-            Map.Entry<ClientConnection, Long> oldest = strangers.entrySet().iterator().next();
-            long wait = oldest.getValue() + FRESH_FOR - loop.now();
-            if (wait <= 0) {
-                strangersClosed++;
-                oldest.getKey().close();
-            } else {
-                pause(wait);
-            }
-        } else {
+        int over = clients.size() - leaving.size() - most + (int) Math.max(1, most * SPARE);
+        for (ClientConnection next = over > 0 ? spared() : null; next != null; next = --over > 0 ? spared() : null) {
+            next.letGo(true);
+        }
+        if (clients.size() < most) {
+            return;
+        }
+        Map<ClientConnection, Long> waited = leaving.isEmpty() ? strangers : leaving;
+        if (waited.isEmpty()) {
             log.warn("no descriptor left for clients: accepting no more");
             pause(ACCEPT_AGAIN);
+            return;
+        }
+        Map.Entry<ClientConnection, Long> oldest = waited.entrySet().iterator().next();
+        long wait = oldest.getValue() + FRESH_FOR - loop.now();
+        if (wait > 0) {
+            pause(wait);
+        } else {
+            oldest.getKey().close();
         }
     }
 
-    private void closeLongestIdle() {
+    /**
+     * The oldest connection that never said anything of use. Whoever opens connections by the hundred must not push out
+     * those that bring jobs and news, nor a new one whose first request may be here, unread. Where the known ones are
+     * more than their part, the longest idle goes, or there would be no room to tell the two apart. Null if there is none.
+     */
+    private ClientConnection spared() {
+        if (!idle.isEmpty() && (strangers.isEmpty()
+                || clients.size() - leaving.size() - strangers.size() > most * KNOWN)) {
+            return longestIdle();
+        }
+        Iterator<Map.Entry<ClientConnection, Long>> oldest = strangers.entrySet().iterator();
+        Map.Entry<ClientConnection, Long> first = oldest.hasNext() ? oldest.next() : null;
+        if (first == null || first.getValue() + FRESH_FOR > loop.now()) {
+            return null;
+        }
+        oldest.remove();
+        strangersClosed++;
+        return first.getKey();
+    }
+
+    private ClientConnection longestIdle() {
+        Iterator<ClientConnection> longest = idle.iterator();
+        ClientConnection first = longest.next();
+        longest.remove();
         idleClosed++;
-        idle.iterator().next().close();
+        return first;
     }
 
     private void pause(long pause) {
@@ -244,7 +276,8 @@
 
     void leaving(ClientConnection connection) {
         strangers.remove(connection);
-        strangers.put(connection, loop.now());
+        idle.remove(connection);
+        leaving.put(connection, loop.now());
     }
 
     void busy(ClientConnection connection) {
@@ -252,19 +285,23 @@
     }
 
     void idle(ClientConnection connection) {
+        idle.add(connection);
         if (gate.isClosing()) {
-            connection.close();
-        } else {
-            idle.add(connection);
-            if (idle.size() > mostIdle) {
-                closeLongestIdle();
-            }
+            letGoSoon(connection);
+        } else if (idle.size() > mostIdle) {
+            letGoSoon(longestIdle());
         }
     }
 
+    /** Not in the middle of what is being read now. */
+    private void letGoSoon(ClientConnection connection) {
+        loop.at(loop.now(), () -> connection.letGo(false));
+    }
+
     void closed(ClientConnection connection) {
         clients.remove(connection);
         strangers.remove(connection);
         idle.remove(connection);
+        leaving.remove(connection);
     }
 }
--- a/src/main/java/loomreel/web/HttpSubchannel.java
+++ b/src/main/java/loomreel/web/HttpSubchannel.java
@@ -105,14 +105,33 @@
             return attempt.deadline;
         }
 
+        @Override
+        public long startBy() {
+            return attempt.startBy;
+        }
+
         @Override
         public void written() {
             attempt.written();
         }
 
+        /** A 202 says that the job was taken; that its body is cut, spoilt or without end changes nothing in that. */
+        @Override
+        public boolean suffices(int status) {
+            if (status == 202 && !accepted) {
+                accepted = true;
+                signs.answered();
+                attempt.accepted();
+            }
+            return accepted;
+        }
+
         @Override
         public void answered(Message message) {
             connection = null;
+            if (accepted) {
+                return;
+            }
             signs.answered();
             // News may have ended it before the 202, and the connection waited for that alone.
             if (attempt.hasEnded()) {
@@ -134,17 +153,33 @@
         @Override
         public void broken(Outcome outcome) {
             connection = null;
-            told(outcome);
-            attempt.end(outcome, null);
+            if (!accepted) {
+                told(outcome);
+                attempt.end(outcome, null);
+            }
+        }
+
+        @Override
+        public boolean takeBack() {
+            if (connection == null || connection.hasSent()) {
+                return false;
+            }
+            connection.abandon();
+            connection = null;
+            return true;
         }
 
-        /** Closes the connection before the 202, and asks for the job's end after it. */
+        /** Closes the connection before the 202, and asks for the job's end after it, also where that lies unread. */
         @Override
         public void cancel() {
+            if (connection != null && connection.hasSent()) {
+                connection.look();
+            }
             if (connection != null) {
                 connection.abandon();
                 connection = null;
-            } else if (accepted) {
+            }
+            if (accepted) {
                 // Nothing hangs on the answer: the attempt ends here.
                 peer.call(request("DELETE", "/jobs/" + attempt.rpc.id, 0), new Errand());
             }
--- a/src/main/java/loomreel/web/HttpWorkers.java
+++ b/src/main/java/loomreel/web/HttpWorkers.java
@@ -24,8 +24,11 @@
         @Override
         public void silent() { }
     };
-    /** How long a pushed list is waited for at a start: a third of the time in which a dispatcher has to be ready. */
-    private static final long AGENT_WITHIN = 10 * SECOND;
+    /**
+     * How long a pushed list is waited for at a start. Nine in ten processes that start have to be ready within 10 s, and
+     * the start itself may take 3 s of that where many start at once.
+     */
+    private static final long AGENT_WITHIN = 7 * SECOND;
     /** Our side of an idle connection ends at this share of the time after which the copy worker ends it. */
     private static final double IDLE_SHARE = 0.7;
 
@@ -192,6 +195,10 @@
             new ArrayList<>(before.keySet()).forEach(this::retire);
         }
         dispatcher.listed(this, result.whole(), result.entries());
+        result.entries().stream().filter(e -> e.state() != Model.State.READY).forEach(e -> dispatcher.takeBack(e.id()));
+        if (result.whole()) {
+            before.keySet().forEach(dispatcher::takeBack);
+        }
         if (whenListed != null && result != known) {
             listed();
         }
--- a/src/main/java/loomreel/web/Resolver.java
+++ b/src/main/java/loomreel/web/Resolver.java
@@ -38,7 +38,7 @@
     /** The next call, while it has to wait. */
     private EventLoop.Timer next;
     /** Whether the last call went unheard. */
-    private boolean silent;
+    private boolean unheard;
     /** What carries the call that is out. */
     private PeerConnection connection;
 
@@ -86,7 +86,7 @@
         }
         discovery.renew(address);
         calling = false;
-        silent = false;
+        unheard = false;
         seq = NONE;
         watch();
     }
@@ -118,6 +118,8 @@
 
     private final class Call implements Exchange {
         private final long deadline;
+        /** Whether an answer with a list has begun to come. */
+        private boolean begun;
 
         Call(long deadline) {
             this.deadline = deadline;
@@ -128,10 +130,17 @@
             return deadline;
         }
 
+        @Override
+        public boolean suffices(int status) {
+            begun = status == 200;
+            return false;
+        }
+
         @Override
         public void answered(Message message) {
             end();
-            silent = false;
+            unheard = false;
+            begun = message.status() == 200;
             Answer answer = read(message);
             if (answer.result() == null) {
                 lost(answer.fault(), Outcome.ERROR);
@@ -168,9 +177,10 @@
         }
 
         private void lost(String why, Outcome outcome) {
-            long again = clock.again(outcome, silent, calledAt, loop.now());
-            silent = ListClock.unheard(outcome, silent);
-            log.warn("the watch on " + discovery + (silent ? " has fallen silent: " : " is lost: ") + why);
+            ListClock.Failure failure = ListClock.Failure.of(outcome, begun, unheard);
+            long again = clock.again(failure, unheard, calledAt, loop.now());
+            unheard = failure == ListClock.Failure.UNHEARD;
+            log.warn("the watch on " + discovery + (unheard ? " has fallen silent: " : " is lost: ") + why);
             if (again == ListClock.NOT_HERE) {
                 listener.lost();
             } else {
--- a/src/test/java/loomreel/decision/ExampleTest.java
+++ b/src/test/java/loomreel/decision/ExampleTest.java
@@ -27,7 +27,7 @@
                 new Model.Entry("w1", "hall", "std", 0, Model.State.READY, 0, 1))), 0, actions);
         node.on(new Model.Arrival("r1", "ledger-7", 1, 0, -1, 5_000_000, false, Double.NaN), 10, actions);
         // end
-        assertTrue(actions.contains(new Model.Send("r1", "w1", 0)));
+        assertTrue(actions.contains(new Model.Send("r1", "w1", 0, Long.MAX_VALUE)));
         String here = Files.readString(Path.of("src/test/java/loomreel/decision/ExampleTest.java"));
         String example = here.substring(here.indexOf("// example") + 11, here.indexOf("        // end"));
         String readme = Files.readString(Path.of("README.md"));
--- a/src/test/java/loomreel/program/Http.java
+++ b/src/test/java/loomreel/program/Http.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -64,12 +65,18 @@
 
     /** A place that listens, as a copy worker or as discovery; the test answers what comes. */
     static final class Peer implements AutoCloseable {
-        final ServerSocket listener = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+        final ServerSocket listener;
         private final BlockingQueue<Message> requests = new LinkedBlockingQueue<>();
         private final AtomicInteger connections = new AtomicInteger();
         private final BlockingQueue<Socket> ended = new LinkedBlockingQueue<>();
 
         Peer() throws IOException {
+            this(0);
+        }
+
+        /** One at a port where another one was; 0 for any. */
+        Peer(int port) throws IOException {
+            listener = LatePeer.bound(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), port), 50);
             Background.run(() -> {
                 while (true) {
                     Socket socket = listener.accept();
@@ -84,6 +91,10 @@
             });
         }
 
+        InetSocketAddress at() {
+            return (InetSocketAddress) listener.getLocalSocketAddress();
+        }
+
         String address() {
             return "127.0.0.1:" + listener.getLocalPort();
         }
@@ -106,6 +117,13 @@
             }
         }
 
+        /** Listens no more; from now on no connection comes up at its address before the test lets it. */
+        LatePeer lateFromNowOn() throws IOException {
+            InetSocketAddress at = at();
+            listener.close();
+            return new LatePeer(at);
+        }
+
         void forget() {
             connections.set(0);
         }
@@ -115,6 +133,11 @@
             return connections.get();
         }
 
+        /** Whether a job lies here that nobody has looked at. */
+        boolean posted() {
+            return requests.stream().anyMatch(r -> r.first().startsWith("POST"));
+        }
+
         boolean wasAsked() {
             return !requests.isEmpty();
         }
--- a/src/test/java/loomreel/program/RealProgram.java
+++ b/src/test/java/loomreel/program/RealProgram.java
@@ -1,7 +1,6 @@
 package loomreel.program;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.BufferedReader;
@@ -17,24 +16,12 @@
 import java.util.stream.Stream;
 
 /** The program as a process of its own, with discovery and copy workers that the test plays. */
-final class RealProgram implements AutoCloseable {
-    private static final String SETTINGS = """
-            {"Balancers":1,"Discovery":"ask","Locality":"n","TickS":0.004,"Specifics":{"TellsStart":false},
-             "RequestClasses":[{"Name":"copy","TargetS":20,"DeadlineS":20,"Repeat":"free","Value":5},
-              {"Name":"issue","TargetS":20,"DeadlineS":20,"Repeat":"single_shot","Value":2}],
-             "PolicyLimits":{"MaxAttempts":4,"Cancelling":true,"SecondCopies":true,"Probing":%s,"RetryAfter":true,
-              "MaxRetryAfterS":1.5,"ConnectTimeoutS":5,"ConnIdleS":60},"Telemetry":{"How":"%s"},
-             "Invariants":{"StopSendingWithinS":3,"AskWithinS":0.5,"ColdFrom":0.2,"ColdS":20,"TipMultiple":3,
-              "FallS":2,"AnswerSlackS":0.016}}""";
+final class RealProgram extends Stage {
     /** The JVM's flags of the tests' own processes: they start quicker so. */
     private static final List<String> FLAGS = List.of("-XX:TieredStopAtLevel=1");
     /** Gives a configuration an address for operators. */
     private static final UnaryOperator<String> WITH_OPERATORS =
             c -> c.replace("{\"name\"", "{\"mgmt\":\"127.0.0.1:0\",\"name\"");
-    private static int ids;
-
-    Http.Peer discovery = new Http.Peer();
-    final List<Http.Peer> workers = new ArrayList<>();
     final Process process;
     private final BufferedReader log;
     private final int port;
@@ -76,13 +63,8 @@
 
     private RealProgram(int workerCount, boolean probing, UnaryOperator<String> change, boolean platform,
             List<String> flags) throws IOException {
-        for (int i = 0; i < workerCount; i++) {
-            workers.add(new Http.Peer());
-        }
-        Files.writeString(file, change.apply("{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"" + discovery.address()
-                + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},"
-                + "\"known\":" + list(41, true, "SERVING") + ",\"settings\":"
-                + String.format(SETTINGS, probing, probing ? "probe" : "none") + "}"));
+        super(workerCount);
+        Files.writeString(file, change.apply(configuration(probing)));
         ProcessBuilder builder = builder(file, "serve", discovery.address(), flags);
         builder.environment().put("TMPDIR", directory.toString());
         if (platform) {
@@ -147,6 +129,10 @@
         return before;
     }
 
+    String configured() throws IOException {
+        return Files.readString(file);
+    }
+
     void configure(String text) throws IOException {
         Files.writeString(file, text);
     }
@@ -174,17 +160,6 @@
         return builder;
     }
 
-    /** All copy workers, w0, w1 and so on, in the given states; where none is left the last one serves on. */
-    String list(int seq, boolean whole, String... health) {
-        StringBuilder hosts = new StringBuilder();
-        for (int i = 0; i < workers.size(); i++) {
-            hosts.append(i == 0 ? "" : ",").append("{\"host\":\"w").append(i).append("\",\"dial\":\"")
-                    .append(workers.get(i).address()).append("\",\"site\":\"n\",\"class\":\"k\",\"block\":0,\"health\":\"")
-                    .append(health[Math.min(i, health.length - 1)]).append("\",\"share\":1.0,\"born_ms\":0}");
-        }
-        return "{\"seq\":" + seq + ",\"whole\":" + whole + ",\"hosts\":[" + hosts + "]}";
-    }
-
     String awaitLog(String part) throws IOException {
         StringBuilder seen = new StringBuilder();
         for (String line = log.readLine(); line != null; line = log.readLine()) {
@@ -196,62 +171,9 @@
         throw new AssertionError("never logged: " + part + "\n" + seen);
     }
 
-    Socket connect() throws IOException {
-        return connect(port);
-    }
-
-    Socket connect(int port) throws IOException {
-        Socket socket = new Socket("127.0.0.1", port);
-        socket.setSoTimeout(Http.PATIENCE_MS);
-        return socket;
-    }
-
-    /** A new id, and a job of that id on its way. */
-    record Job(String id, Socket socket) {
-        Http.Message answer() throws IOException {
-            return Http.read(socket);
-        }
-    }
-
-    Job job(String path, String body) throws IOException {
-        return job(connect(), path, 20_000, body);
-    }
-
-    Job job(Socket socket, String path, int budget, String body) throws IOException {
-        String id = String.format("%016x", ++ids);
-        Http.write(socket, "POST " + path + " HTTP/1.1\r\nHost: x\r\nX-Call-Id: " + id + "\r\nX-Budget-Ms: " + budget
-                + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
-        return new Job(id, socket);
-    }
-
-    /** A copy worker's call-back; the status of the answer. */
-    int news(String id, String from, String state, String more) throws IOException {
-        return request("POST /_jobs/news HTTP/1.1\r\nHost: x\r\n", "{\"id\":\"" + id + "\",\"from\":\"" + from
-                + "\",\"state\":\"" + state + "\"" + more + "}").status();
-    }
-
-    Http.Message request(String head, String body) throws IOException {
-        try (Socket socket = connect()) {
-            Http.write(socket, head + "Content-Length: " + body.length() + "\r\n\r\n" + body);
-            return Http.read(socket);
-        }
-    }
-
-    /** Lets a copy worker take the job that comes next and serve it. */
-    void serve(int worker, String result) throws Exception {
-        Http.Message post = workers.get(worker).next();
-        post.answer(202, "");
-        assertEquals(200, news(post.header("X-Call-Id"), "w" + worker, "done", ",\"result\":\"" + result + "\""));
-    }
-
-    /** Has so many jobs served, all of them by this one of two copy workers. */
-    void allGoTo(int worker, int jobs) throws Exception {
-        for (int i = 0; i < jobs; i++) {
-            Job job = job("/copy", "");
-            serve(worker, "r");
-            assertEquals("r", job.answer().body());
-        }
-        assertFalse(workers.get(1 - worker).wasAsked());
+    @Override
+    int port() {
+        return port;
     }
 
     @Override
@@ -269,9 +191,6 @@
         }
         Files.delete(directory);
         Files.delete(file);
-        discovery.close();
-        for (Http.Peer worker : workers) {
-            worker.close();
-        }
+        super.close();
     }
 }
--- a/src/test/java/loomreel/program/ServeTest.java
+++ b/src/test/java/loomreel/program/ServeTest.java
@@ -45,7 +45,7 @@
         }
     }
 
-    private static String keyedClass(String settings) {
+    static String keyedClass(String settings) {
         return settings.replace("\"RequestClasses\":[", "\"RequestClasses\":[{\"Name\":\"hold\",\"TargetS\":20,"
                 + "\"DeadlineS\":20,\"Repeat\":\"guarded\",\"Group\":\"zone\",\"WindowS\":15,\"Value\":3},");
     }
@@ -532,6 +532,26 @@
         }
     }
 
+    /** It may be another customer's file: neither its settings nor its discovery may turn up here. */
+    @ParameterizedTest
+    @CsvSource({"\"Name\":\"issue\",\"Name\":\"sell\",settings", "\"AskWithinS\":0.5,\"AskWithinS\":0.7,settings",
+        "\"sockets\":1024,\"sockets\":512,limits.sockets", "\"name\":\"n0\",\"name\":\"n1\",name"})
+    void aNewConfigurationThatChangesMoreThanItMayKeepsTheOldWhole(String from, String to, String field) throws Exception {
+        try (RealProgram program = new RealProgram(1, false); Http.Peer other = new Http.Peer()) {
+            Http.Message watch = program.discovery.next();
+            program.configure(program.configured().replace(program.discovery.address(), other.address()).replace(from, to));
+            program.signal("HUP");
+            String said = program.awaitLog("no good");
+            assertTrue(said.contains("the old one stays: it changes " + field + ", and only a start may"), said);
+            watch.answer(200, program.list(42, true, "SERVING"));
+            assertTrue(program.discovery.next().first().contains("?from=42&"));
+            RealProgram.Job job = program.job("/issue", "");
+            program.serve(0, "as before");
+            assertEquals("as before", job.answer().body());
+            assertFalse(other.wasAsked());
+        }
+    }
+
     @Test
     void aBadNewConfigurationChangesNothing() throws Exception {
         try (RealProgram program = new RealProgram(1, false)) {
--- a/src/test/java/loomreel/web/ListClockTest.java
+++ b/src/test/java/loomreel/web/ListClockTest.java
@@ -1,11 +1,17 @@
 package loomreel.web;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import loomreel.decision.Brain;
+import loomreel.decision.Model;
+import loomreel.decision.Model.Action;
 import loomreel.decision.Model.Outcome;
 import loomreel.decision.Model.Rules;
+import loomreel.web.ListClock.Failure;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -14,8 +20,12 @@
 class ListClockTest {
     private static final long SECOND = 1_000_000;
 
+    private static Rules rules(double grace) {
+        return new Rules((long) (grace * SECOND), 10 * SECOND, 0.1, 20 * SECOND, 3, 2 * SECOND);
+    }
+
     private static ListClock clock(double grace, boolean asked) {
-        return ListClock.of(new Rules((long) (grace * SECOND), 10 * SECOND, 0.1, 20 * SECOND, 3, 2 * SECOND), asked);
+        return ListClock.of(rules(grace), asked);
     }
 
     @ParameterizedTest
@@ -50,25 +60,111 @@
     @Test
     void silenceIsAnsweredAtOnceAndThenAtAPaceWhateverComesOfIt() {
         ListClock c = clock(3, true);
-        assertEquals(5_500_000, c.again(Outcome.TIMEOUT, false, 0, 5_500_000), "opened anew at once");
-        assertEquals(6_500_000, c.again(Outcome.CONNECT_FAILED, true, 5_500_000, 5_750_000), "no connection comes up either");
-        assertEquals(7_000_000, c.again(Outcome.TIMEOUT, true, 5_500_000, 7_000_000));
+        Failure unheard = Failure.of(Outcome.TIMEOUT, false, false);
+        assertEquals(5_500_000, c.again(unheard, false, 0, 5_500_000), "opened anew at once");
+        Failure still = Failure.of(Outcome.CONNECT_FAILED, false, true);
+        assertEquals(6_500_000, c.again(still, true, 5_500_000, 5_750_000), "no connection comes up either");
+        assertEquals(7_000_000, c.again(unheard, true, 5_500_000, 7_000_000));
         for (Outcome busy : new Outcome[] {Outcome.RESET, Outcome.ERROR}) {
-            assertEquals(ListClock.NOT_HERE, c.again(busy, true, 0, SECOND), "who answers so is to be spared");
-            assertFalse(ListClock.unheard(busy, true));
+            assertEquals(Failure.TURNED_AWAY, Failure.of(busy, false, true));
+            assertEquals(ListClock.NOT_HERE, c.again(Failure.TURNED_AWAY, true, 0, SECOND), "who answers so is to be spared");
+        }
+        assertEquals(Failure.TURNED_AWAY, Failure.of(Outcome.CONNECT_FAILED, false, false), "nobody listens: it is down");
+        assertEquals(Failure.UNHEARD, still);
+    }
+
+    /** Discovery is there and has something to tell: what was in the half that came may count as told already. */
+    @ParameterizedTest
+    @ValueSource(doubles = {0.3, 0.5, 1, 3, 10})
+    void aSpoiltAnswerIsAskedForAgainWithinTheGrace(double grace) {
+        ListClock c = clock(grace, true);
+        for (Outcome outcome : new Outcome[] {Outcome.RESET, Outcome.ERROR}) {
+            Failure failure = Failure.of(outcome, true, false);
+            assertEquals(3 * SECOND, c.again(failure, false, 0, 3 * SECOND), "at once after a wait");
+            long second = c.again(failure, false, 0, 1000);
+            long third = c.again(failure, false, second, second + 1000);
+            assertTrue(third <= grace * SECOND, third + " after two of them, of " + grace);
+            assertTrue(second >= 100_000, "nobody is asked without end");
         }
-        assertEquals(ListClock.NOT_HERE, c.again(Outcome.CONNECT_FAILED, false, 0, SECOND), "nobody listens: it is down");
-        assertTrue(ListClock.unheard(Outcome.CONNECT_FAILED, true));
     }
 
     @Test
     void anAgentIsAskedAgainWhateverItDid() {
         ListClock c = clock(0.5, false);
-        for (Outcome outcome : new Outcome[] {Outcome.RESET, Outcome.ERROR, Outcome.TIMEOUT, Outcome.CONNECT_FAILED}) {
-            for (boolean silent : new boolean[] {false, true}) {
-                assertEquals(100_000, c.again(outcome, silent, 0, 1000), outcome + " is paced");
-                assertEquals(300_000, c.again(outcome, silent, 0, 300_000), outcome + " after a while is asked at once");
+        for (Failure failure : Failure.values()) {
+            for (boolean unheard : new boolean[] {false, true}) {
+                assertEquals(100_000, c.again(failure, unheard, 0, 1000), failure + " is paced");
+                assertEquals(300_000, c.again(failure, unheard, 0, 300_000), failure + " after a while is asked at once");
+            }
+        }
+    }
+
+    /** What may come of a call that is not answered, and how long that takes of the time that it may. */
+    private enum Ending {
+        REFUSED(Outcome.CONNECT_FAILED, 0), NO_CONNECTION(Outcome.CONNECT_FAILED, -1), RESET_AT_ONCE(Outcome.RESET, 0),
+        RESET_LATE(Outcome.RESET, 0.999), TURNED_AWAY(Outcome.ERROR, 0.2), SILENT(Outcome.TIMEOUT, 1);
+
+        final Outcome outcome;
+        final double part;
+
+        Ending(Outcome outcome, double part) {
+            this.outcome = outcome;
+            this.part = part;
+        }
+
+        long lasts(long most) {
+            return part < 0 ? 250_000 : (long) (part * most);
+        }
+    }
+
+    /**
+     * Every sequence of up to five failures, by the module and this clock together, on a virtual clock: discovery can be
+     * reached from the moment on in which the last of them has begun, so that this one is lost as well. The call after it
+     * has half a second for its answer.
+     */
+    @ParameterizedTest
+    @ValueSource(doubles = {0, 0.2, 0.5, 1, 2, 3, 10})
+    void whateverCameOfOurCallsAChangeIsKnownBeforeASendCouldBreakTheRule(double grace) {
+        Ending[] all = Ending.values();
+        for (int length = 1; length <= 5; length++) {
+            for (int code = 0; code < Math.pow(all.length, length); code++) {
+                Ending[] sequence = new Ending[length];
+                for (int i = 0, rest = code; i < length; i++, rest /= all.length) {
+                    sequence[i] = all[rest % all.length];
+                }
+                long unknown = reachableUntilAsked(grace, sequence, code);
+                assertTrue(unknown + SECOND / 2 <= (6 + grace + 0.05) * SECOND,
+                        "asked " + unknown + " us after it could be reached: " + Arrays.toString(sequence));
+            }
+        }
+    }
+
+    /** From the start of the last of these calls, which all fail, to that of the one after it. */
+    private static long reachableUntilAsked(double grace, Ending[] sequence, long seed) {
+        ListClock clock = clock(grace, true);
+        Brain module = new Brain();
+        List<Action> actions = new ArrayList<>();
+        Rules rules = rules(grace);
+        module.on(new Model.Start(seed, new Model.Settings(20, "z", List.of(), List.of(), rules,
+                new Model.Limits(4, true, true, false, false, 0), true, true, Model.Reporting.NONE, false, 4000)), 0, actions);
+        long calledAt = 0;
+        long nextAt = 0;
+        boolean unheard = false;
+        for (Ending ending : sequence) {
+            calledAt = nextAt;
+            long end = calledAt + ending.lasts(clock.deadline(0, true));
+            Failure failure = Failure.of(ending.outcome, false, unheard);
+            nextAt = clock.again(failure, unheard, calledAt, end);
+            unheard = failure == Failure.UNHEARD;
+            if (nextAt == ListClock.NOT_HERE) {
+                actions.clear();
+                module.on(new Model.ListLost(), end, actions);
+                Model.Timer timer = (Model.Timer) actions.get(0);
+                nextAt = timer.at();
+                module.on(new Model.TimerDue(timer.token()), nextAt, actions);
+                assertTrue(nextAt - end >= rules.askAgainWithin() / 8, "who is turned away does not come again at once");
             }
         }
+        return nextAt - calledAt;
     }
 }
