--- a/deploy/loomreel.cue
+++ b/deploy/loomreel.cue
@@ -1,31 +1,31 @@
 // An installation by itself: `loomreel daemon deploy/loomreel.cue`. All that may stand here: `loomreel schema`.
-name: "office"
-site: "montreal"
+name: "example"
+site: "here"
 
 listen: {
 	http:      "127.0.0.1:8000"
 	operators: "127.0.0.1:8001"
 }
 
-// Certified copies may be rendered again; an issuance must never run twice.
+// A page may be rendered again; an entry must never be recorded twice.
 classes: {
-	copy: {repeat: "free", target: "1200ms", stretch: 2.5, deadline: "5s", worth: 5}
-	issue: {repeat: "single_shot", target: "600ms", stretch: 1.75, deadline: "5s", worth: 2}
+	render: {repeat: "free", target: "1s", stretch: 2, deadline: "10s", worth: 1}
+	record: {repeat: "single_shot", target: "500ms", stretch: 2, deadline: "8s", worth: 3}
 }
 
-tenants: "montreal-office": allowance: 80
+tenants: "office": allowance: 50
 
 // HTTP copy workers; those that speak Faktory come by themselves.
 workers: {
-	"w-1": {address: "127.0.0.1:8101", site: "montreal"}
-	"w-2": {address: "127.0.0.1:8102", site: "montreal"}
+	"w-1": {address: "127.0.0.1:8101", site: "here"}
+	"w-2": {address: "127.0.0.1:8102", site: "here"}
 }
 
 faktory: {
 	listen: "127.0.0.1:7419"
 	queues: {
-		copies: {class: "copy", weight: 3}
-		renewals: {class: "issue", tenant: "montreal-office"}
+		pages: {class: "render", weight: 3}
+		entries: {class: "record", tenant: "office"}
 	}
-	job_types: Renew: class: "issue"
+	job_types: Record: class: "record"
 }
--- a/src/main/java/loomreel/standin/Measure.java
+++ b/src/main/java/loomreel/standin/Measure.java
@@ -41,15 +41,15 @@
                     name: "measured"
                     listen: {http: "127.0.0.1:0", operators: "127.0.0.1:0"}
                     classes: {
-                    	copy: {repeat: "free", target: "2s", deadline: "5s", kind: "http"}
-                    	batch: {repeat: "free", target: "2s", deadline: "5s", kind: "faktory"}
+                    	render: {repeat: "free", target: "2s", deadline: "4s", kind: "http"}
+                    	batch: {repeat: "free", target: "2s", deadline: "4s", kind: "faktory"}
                     }
                     workers: w0: {address: "%s", kind: "http"}
                     rules: cold_from: 1.0
                     limits: {memory: "1GiB", descriptors: 4096}
                     faktory: {
                     	listen: "127.0.0.1:0"
-                    	queues: {copies: class: "batch", later: class: "batch"}
+                    	queues: {pages: class: "batch", later: class: "batch"}
                     	workers: cold: false
                     	backlog: {jobs: 1000000, bytes: "1GiB"}
                     	may_mutate: true
@@ -151,7 +151,7 @@
                 Thread thread = new Thread(() -> {
                     try (FaktoryLink link = new FaktoryLink(daemon.faktory, null, null)) {
                         while (left.getAndDecrement() > 0) {
-                            link.ok("PUSH " + job("copies", ""));
+                            link.ok("PUSH " + job("pages", ""));
                         }
                     } catch (IOException e) {
                         throw new IllegalStateException(e);
@@ -174,7 +174,7 @@
     private long http(int connections) throws InterruptedException {
         return rate(connections, () -> {
             HttpLink link = new HttpLink(daemon.http);
-            return () -> link.job("/copy", numbers.incrementAndGet());
+            return () -> link.job("/render", numbers.incrementAndGet());
         });
     }
 
@@ -215,7 +215,7 @@
                         for (long wait = due - System.nanoTime(); wait > 0; wait = due - System.nanoTime()) {
                             LockSupport.parkNanos(wait);
                         }
-                        link.job("/copy", numbers.incrementAndGet());
+                        link.job("/render", numbers.incrementAndGet());
                         synchronized (latency) {
                             latency.recordValue((System.nanoTime() - due) / 1000);
                         }
@@ -250,7 +250,7 @@
                 links.add(link);
                 Background.run(() -> {
                     while (true) {
-                        if (link.call("FETCH copies") instanceof String job) {
+                        if (link.call("FETCH pages") instanceof String job) {
                             int at = job.indexOf("\"jid\":\"") + 7;
                             link.ok("ACK {\"jid\":\"" + job.substring(at, job.indexOf('"', at)) + "\"}");
                         }
--- a/src/main/java/loomreel/standin/MeasureJobs.java
+++ b/src/main/java/loomreel/standin/MeasureJobs.java
@@ -56,10 +56,10 @@
                 out.println("fetches  class               jobs/s   p50 ms   p99 ms   HTTP jobs/s   ratio");
                 for (int fetches : FETCHES) {
                     // The first of each pair warms up what the second measures.
-                    measure(daemon, fetches, "copies");
+                    measure(daemon, fetches, "pages");
                     Rate http1 = http(daemon, fetches);
-                    row(fetches, "written", measure(daemon, fetches, "copies"), http1);
-                    row(fetches, "synced", measure(daemon, fetches, "renewals"), http1);
+                    row(fetches, "written", measure(daemon, fetches, "pages"), http1);
+                    row(fetches, "synced", measure(daemon, fetches, "entries"), http1);
                 }
                 fill(daemon);
                 daemon.kill();
@@ -82,16 +82,16 @@
                 name: "measured"
                 listen: {http: "127.0.0.1:0", operators: "127.0.0.1:0"}
                 classes: {
-                	web: {repeat: "free", target: "2s", deadline: "5s", kind: "http"}
-                	copy: {repeat: "free", target: "2s", deadline: "5s", kind: "faktory"}
-                	issue: {repeat: "single_shot", target: "2s", deadline: "5s", kind: "faktory"}
+                	web: {repeat: "free", target: "2s", deadline: "4s", kind: "http"}
+                	render: {repeat: "free", target: "2s", deadline: "4s", kind: "faktory"}
+                	record: {repeat: "single_shot", target: "2s", deadline: "4s", kind: "faktory"}
                 }
                 workers: w0: {address: "%s", kind: "http"}
                 rules: cold_from: 1.0
                 limits: {memory: "1GiB", descriptors: 4096}
                 faktory: {
                 	listen: "127.0.0.1:0"
-                	queues: {copies: class: "copy", renewals: class: "issue", later: class: "copy"}
+                	queues: {pages: class: "render", entries: class: "record", later: class: "render"}
                 	backlog: {jobs: 1000000, bytes: "256MiB"}
                 	spool: "%s"
                 }
--- a/src/main/java/loomreel/standin/MixedRun.java
+++ b/src/main/java/loomreel/standin/MixedRun.java
@@ -57,7 +57,7 @@
                 table(out, "troubles", troubles);
             }
             broken.stream().limit(20).forEach(b -> out.println("BROKEN " + b));
-            out.println(broken.isEmpty() ? "all that must hold held: each job has one end, no issue ran twice"
+            out.println(broken.isEmpty() ? "all that must hold held: each job has one end, nothing ran twice that must not"
                     : broken.size() + " things are broken");
             return broken.isEmpty() ? 0 : 1;
         }
@@ -116,8 +116,8 @@
                 name: "mixed"
                 listen: {http: "127.0.0.1:0", operators: "127.0.0.1:0"}
                 classes: {
-                	copy: {repeat: "free", target: "2s", deadline: "3s", worth: 5}
-                	issue: {repeat: "single_shot", target: "2s", deadline: "3s", worth: 2}
+                	render: {repeat: "free", target: "2s", deadline: "3s", worth: 3}
+                	record: {repeat: "single_shot", target: "2s", deadline: "3s", worth: 4}
                 }
                 workers: {
                 %s}
@@ -128,7 +128,7 @@
                 	listen: "127.0.0.1:0"
                 	password: "a password"
                 	iterations: 10
-                	queues: {copies: {class: "copy", weight: 2}, renewals: class: "issue"}
+                	queues: {pages: {class: "render", weight: 2}, entries: class: "record"}
                 	workers: {beat_within: "3s", fetch_wait: "500ms", cold: false}
                 	backoff: "200ms"
                 	retry: 8
@@ -206,7 +206,7 @@
     }
 
     private synchronized FaktoryWorker worker(String wid) {
-        FaktoryWorker worker = new FaktoryWorker(wid, daemon.faktory, "a password", SLOTS, WORK_MS, stamps, "copies", "renewals");
+        FaktoryWorker worker = new FaktoryWorker(wid, daemon.faktory, "a password", SLOTS, WORK_MS, stamps, "pages", "entries");
         all.add(worker);
         return worker;
     }
@@ -251,7 +251,7 @@
         List<CompletableFuture<Void>> open = new ArrayList<>();
         for (int i = 0; i < jobs; i++) {
             pace(startedAt, i, jobs);
-            String type = random.nextBoolean() ? "copy" : "issue";
+            String type = random.nextBoolean() ? "render" : "record";
             String serial = type.charAt(0) + "-http-" + number + "-" + i;
             HttpRequest request = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + daemon.http.getPort() + "/" + type
                     + "/page")).header("X-Call-Id", HexFormat.of().toHexDigits(random.nextLong()))
@@ -298,7 +298,7 @@
         if (end.equals("served") && (!answer.body().equals("made " + serial) || stamps.runs(serial) == 0)) {
             broken.add(serial + " was served with what no copy worker made: " + answer.body());
         }
-        if (end.equals("refused") && type.equals("issue") && stamps.runs(serial) > 0) {
+        if (end.equals("refused") && type.equals("record") && stamps.runs(serial) > 0) {
             broken.add(serial + " was refused although it ran");
         }
     }
@@ -319,10 +319,10 @@
             int size = random.nextInt(4) == 0 ? Math.min(BATCH, jobs - i) : 1;
             ArrayNode batch = FaktoryLink.JSON.createArrayNode();
             for (int j = 0; j < size; j++) {
-                boolean isCopy = random.nextBoolean();
-                String serial = (isCopy ? "c" : "i") + "-fak-" + number + "-" + (i + j);
+                boolean repeatable = random.nextBoolean();
+                String serial = (repeatable ? "c" : "i") + "-fak-" + number + "-" + (i + j);
                 ObjectNode job = batch.addObject().put("jid", "jid-" + serial).put("jobtype", "Make")
-                        .put("queue", isCopy ? "copies" : "renewals").put("priority", 1 + random.nextInt(9));
+                        .put("queue", repeatable ? "pages" : "entries").put("priority", 1 + random.nextInt(9));
                 job.putArray("args").add(serial);
                 job.putObject("custom").put("key", "k" + random.nextInt(50));
             }
@@ -391,7 +391,7 @@
     }
 
     private void ended(String serial, JsonNode state) {
-        String type = serial.startsWith("c") ? "copy" : "issue";
+        String type = serial.startsWith("c") ? "render" : "record";
         String end = state.path("state").asText();
         count(ends, "Faktory " + type + (type.length() < 5 ? "  " : " ") + end
                 + (state.path("may_have_run").asBoolean() ? ", may have run" : ""));
@@ -408,7 +408,7 @@
     }
 
     private void check() {
-        stamps.repeated("i-").forEach(s -> broken.add("an issue ran twice: " + s));
+        stamps.repeated("i-").forEach(s -> broken.add("what must not ran twice: " + s));
         for (FaktoryWorker worker : all) {
             if (worker.afterQuiet() > 0) {
                 broken.add("a quiet worker was handed " + worker.afterQuiet() + " jobs");
--- a/src/main/java/loomreel/standin/Rehearsal.java
+++ b/src/main/java/loomreel/standin/Rehearsal.java
@@ -37,8 +37,8 @@
                  "known":{"seq":1,"whole":true,"hosts":[{"host":"w0","dial":"%s","site":"a","class":"m","block":0,
                   "health":"SERVING","share":1.0,"born_ms":0}]},
                  "settings":{"Balancers":1,"Discovery":"ask","Dcs":["a"],"HostTypes":["m"],"Locality":"a","TickS":0.004,
-                  "RequestClasses":[{"Name":"copy","TargetS":2,"DeadlineS":5,"Repeat":"free","Value":5},
-                   {"Name":"issue","TargetS":2,"DeadlineS":5,"Repeat":"single_shot","Value":2}],
+                  "RequestClasses":[{"Name":"render","TargetS":2,"DeadlineS":4,"Repeat":"free","Value":3},
+                   {"Name":"record","TargetS":2,"DeadlineS":4,"Repeat":"single_shot","Value":4}],
                   "Tenants":[{"Name":"t","AllowancePerS":1000,"Portion":1}],
                   "PolicyLimits":{"MaxAttempts":4,"Cancelling":true,"SecondCopies":true,"Probing":true,"RetryAfter":true,
                    "MaxRetryAfterS":2,"ConnectTimeoutS":0.25,"ConnIdleS":15},
@@ -63,7 +63,7 @@
         for (int i = 0; i < JOBS; i++) {
             try {
                 HttpURLConnection call = (HttpURLConnection) new URL("http", listen.getHostString(), listen.getPort(),
-                        i % 2 == 0 ? "/copy" : "/issue").openConnection();
+                        i % 2 == 0 ? "/render" : "/record").openConnection();
                 call.setDoOutput(true);
                 call.setConnectTimeout(PATIENCE_MS);
                 call.setReadTimeout(PATIENCE_MS);
