Spare cold workers heavy jobs, and send keyless jobs to the least loaded of those asked

Jobs of more than two mean ones go elsewhere while a third of the workers are warm, and the leave is counted in mean jobs of those that may go.

Brain.choose took the first of three asked that was under the threshold; its reports are 0.2 to 1.7 s old there, and the design says the least loaded. Keyed sites are as before.

--- a/src/main/java/loomreel/decision/Book.java
+++ b/src/main/java/loomreel/decision/Book.java
@@ -22,6 +22,8 @@
     static final long NEVER = Long.MIN_VALUE / 2;
 
     final long startedAt;
+    /** One warm worker in so many is enough for those requests that are too heavy for cold ones. */
+    private static final int FEW_WARM = 3;
     /** How long it is held against a worker that it was slow. */
     private static final double SLOW_MEMORY = 4e6;
     /** So many jobs in reports weigh as much as the guess that the nodes' parts are even. */
@@ -53,6 +55,9 @@
     double meanWait;
     double waitSpread;
     double probeTime;
+    /** The work of the requests that came, and of the lighter ones among them. */
+    private final Mean costs;
+    private final Mean lightCosts;
     /** Work sent, in slots times time. */
     final Fading workSent;
     /** Of all jobs served. */
@@ -75,6 +80,8 @@
         ask = new AskClock(rules);
         shortestTarget = settings.classes().stream().mapToLong(RequestClass::target).min().orElse(1_000_000);
         meanRun = settings.classes().stream().mapToDouble(RequestClass::target).toArray();
+        costs = new Mean(meanRunOfAll());
+        lightCosts = new Mean(meanRunOfAll());
         probeTime = settings.tick() * 2;
         workSent = new Fading(memory);
         pace = new Pace(memory);
@@ -114,6 +121,27 @@
         return warm;
     }
 
+    /** A request has come; what it takes of a worker's leave goes into the means. */
+    void add(Request r) {
+        requests.put(r.arrival.request(), r);
+        timers.put(r.token, r);
+        double cost = coldCost(r);
+        costs.add(cost);
+        if (cost <= ColdBudget.HEAVY * costs.mean()) {
+            lightCosts.add(cost);
+        }
+    }
+
+    /** The mean work of those requests that may go to cold workers. */
+    double lightCost() {
+        return lightCosts.mean();
+    }
+
+    /** The work that a request for a cold worker may be at the most; where few are warm, there is nowhere else to go. */
+    double heaviest(long now) {
+        return FEW_WARM * warm(now) >= workers.size() ? ColdBudget.HEAVY * costs.mean() : Double.POSITIVE_INFINITY;
+    }
+
     /** What a request takes of a cold worker's leave: the work that it is said to be, or that of its class. */
     double coldCost(Request r) {
         return Double.isNaN(r.arrival.work()) ? work(r) : r.arrival.slots() * r.arrival.work();
@@ -285,6 +313,25 @@
         }
     }
 
+    /** A mean of what was seen: of all at first, and mostly of the last hundred from then on. */
+    static final class Mean {
+        private double mean;
+        private int count;
+
+        Mean(double guess) {
+            mean = guess;
+        }
+
+        void add(double value) {
+            count = Math.min(100, count + 1);
+            mean += (value - mean) / (count + 1);
+        }
+
+        double mean() {
+            return mean;
+        }
+    }
+
     /** A sum that fades with time. */
     static final class Fading {
         private final double memory;
--- a/src/main/java/loomreel/decision/Brain.java
+++ b/src/main/java/loomreel/decision/Brain.java
@@ -161,7 +161,7 @@
             Worker w = book.workers.computeIfAbsent(entry.id(), id -> new Worker(id, REPORT_LAG));
             if (w.entry == null || entry.startedAt() > w.entry.startedAt()) {
                 // Nodes hear of it together: not all may send their first job at once, nor all wait as long.
-                w.restarted(now, random.nextDouble() * book.largestWork());
+                w.restarted(now, random.nextDouble() * book.lightCost());
                 w.upAt = 0;
             }
             w.entry = entry;
@@ -187,8 +187,7 @@
     private void arrive(Arrival arrival) {
         RequestClass type = settings.classes().get(arrival.requestClass());
         Request r = new Request(arrival, type, ++book.lastToken);
-        book.requests.put(arrival.request(), r);
-        book.timers.put(r.token, r);
+        book.add(r);
         double run = book.meanRun[arrival.requestClass()];
         double size = Double.isNaN(arrival.work()) ? TYPICAL * run : arrival.work();
         long slack = type.target() + (long) (size * Math.max(0, type.stretch() - 1));
@@ -328,10 +327,10 @@
             for (Worker w : candidates(r, round)) {
                 double load = load(r, w);
                 if (load + (Math.min(r.arrival.slots(), book.slots(w)) - 1) / book.slots(w) < t) {
-                    if (round == 1) {
+                    if (round == 1 && r.arrival.key() != null) {
                         return w;
                     }
-                    load = -1;
+                    load = r.arrival.key() == null ? load - t : -1;
                 }
                 if (load < least) {
                     least = load;
@@ -431,7 +430,8 @@
         double sure = book.slots(w) * book.speed(w.entry.kind(), LEAST_SPEED, now) / settings.nodes();
         double rate = part * warmth * settings.rules().tipMultiple()
                 * Math.max(COLD_MARGIN * even, COLD_SURE * sure);
-        return w.cold.allows(rate, book.largestWork(), settings.rules().fallWithin(), book.coldCost(r), now);
+        return w.cold.allows(rate, book.lightCost(), settings.rules().fallWithin(), book.coldCost(r),
+                book.heaviest(now), now);
     }
 
     /** The first two rules, as far as they hold for any worker. */
--- a/src/test/java/loomreel/decision/OrdinaryPathTest.java
+++ b/src/test/java/loomreel/decision/OrdinaryPathTest.java
@@ -64,6 +64,23 @@
         assertTrue(used.size() > 8);
     }
 
+    /** No affinity is lost by it, and where reports are old the emptiest is the likeliest to be free still. */
+    @Test
+    void aJobWithoutAKeyGoesToTheLeastLoadedOfThoseAsked() {
+        for (int seed = 0; seed < 20; seed++) {
+            Fixture f = new Fixture(Fixture.settings(1, true, true, Reporting.WITH_PROBES, false), seed);
+            f.on(new WholeList(Fixture.workers(20)));
+            List<Probe> probes = of(Probe.class, f.arrive("a", null, Fixture.READ));
+            List<Action> last = List.of();
+            for (int i = 0; i < probes.size(); i++) {
+                int free = 1 + (i + seed) % probes.size();
+                last = f.on(new Probed(probes.get(i).worker(), Outcome.OK, 1000, Fixture.report(0, 4 - free, free)));
+            }
+            int emptiest = (2 * probes.size() - 1 - seed % probes.size()) % probes.size();
+            assertEquals(probes.get(emptiest).worker(), sends(last).get(0).worker(), "seed " + seed);
+        }
+    }
+
     @Test
     void aClassRunsOnlyOnItsKind() {
         Fixture f = new Fixture();
