Serve clients that give up early: a short budget is no proof that a client comes again

Of 3,716 arrivals 912 had under 0.5 s left of the class's 5 s, 180 more under 2.5 s: clients that give up early, on their first try. Ruled out: tenants' shares (5 refusals), room (none), age (nothing waited). At fault: Brain.arrive reckoned that a client with less than its deadline had asked before, deadline less budget ago. Change: FirstAsked (pure). Where the settings say that clients mark their repeats, the mark decides; else a try with half of the deadline left counts as a further one, and one with less as of a client that gives up early, unless this node has sent away half as many.

--- a/src/main/java/loomreel/config/SetupReader.java
+++ b/src/main/java/loomreel/config/SetupReader.java
@@ -68,7 +68,7 @@
         };
         return new Model.Settings((int) number(get(root, "Balancers"), 1), text(root, "Locality"), classes, tenants,
                 rules, limits, ask, !text(root, "Weights").equals("live"), reporting,
-                flag(root, "Specifics", "TellsStart"), time(0.001, root, "TickS"));
+                flag(root, "Specifics", "TellsStart"), time(0.001, root, "TickS"), flag(root, "Callers", "MarksRetry"));
     }
 
     static Object get(Object from, String... path) {
--- a/src/main/java/loomreel/decision/Book.java
+++ b/src/main/java/loomreel/decision/Book.java
@@ -69,6 +69,7 @@
     private final Fading heldOwn;
     final Bucket[] tenants;
     final AskClock ask;
+    final FirstAsked firstAsked;
     private long warm;
     private long warmAt = NEVER;
     private long warmVersion;
@@ -78,6 +79,7 @@
         this.memory = memory;
         rules = settings.rules();
         ask = new AskClock(rules);
+        firstAsked = new FirstAsked(settings.marksRepeats(), memory);
         shortestTarget = settings.classes().stream().mapToLong(RequestClass::target).min().orElse(1_000_000);
         meanRun = settings.classes().stream().mapToDouble(RequestClass::target).toArray();
         costs = new Mean(meanRunOfAll());
--- a/src/main/java/loomreel/decision/Brain.java
+++ b/src/main/java/loomreel/decision/Brain.java
@@ -191,7 +191,7 @@
         double run = book.meanRun[arrival.requestClass()];
         double size = Double.isNaN(arrival.work()) ? TYPICAL * run : arrival.work();
         long slack = type.target() + (long) (size * Math.max(0, type.stretch() - 1));
-        r.inTimeUntil = Math.min(arrival.due(), Math.min(now, arrival.due() - type.deadline()) + slack);
+        r.inTimeUntil = Math.min(arrival.due(), book.firstAsked.at(arrival, type, now) + slack);
         r.giveUpAt = type.lateWorth() > 0 ? arrival.due() : r.inTimeUntil;
         r.lastMoment = arrival.due() - 2 * settings.tick();
         if (now >= r.giveUpAt) {
@@ -641,6 +641,7 @@
         boolean harmless = r.repeat == Repeat.FREE || r.attempts.stream().allMatch(a -> a.neverRan);
         long holdOff = settings.limits().holdOff() ? settings.limits().maxHoldOff() : 0;
         String request = r.arrival.request();
+        book.firstAsked.sentAway(why, now);
         end(r, harmless ? new Refuse(request, holdOff, why) : new Fail(request, why));
     }
 
--- a/src/main/java/loomreel/decision/Model.java
+++ b/src/main/java/loomreel/decision/Model.java
@@ -98,10 +98,18 @@
      * @param steadyWeights whether a worker's weight stays the same from list to list
      * @param tellsStart whether workers tell when a job starts
      * @param tick the least time between two moments at which this node is called
+     * @param marksRepeats whether clients mark that they ask again
      */
     public record Settings(int nodes, String zone, List<RequestClass> classes, List<Tenant> tenants, Rules rules,
             Limits limits, boolean mustAsk, boolean steadyWeights, Reporting reporting, boolean tellsStart,
-            long tick) { }
+            long tick, boolean marksRepeats) {
+        /** A site whose clients do not mark their repeats. */
+        public Settings(int nodes, String zone, List<RequestClass> classes, List<Tenant> tenants, Rules rules,
+                Limits limits, boolean mustAsk, boolean steadyWeights, Reporting reporting, boolean tellsStart,
+                long tick) {
+            this(nodes, zone, classes, tenants, rules, limits, mustAsk, steadyWeights, reporting, tellsStart, tick, false);
+        }
+    }
 
     /**
      * A worker as the list names it; {@code startedAt} is 0 where it has been up for long.
