--- a/src/main/java/loomreel/standin/MixedRun.java
+++ b/src/main/java/loomreel/standin/MixedRun.java
@@ -103,6 +103,11 @@
         this.plan = plan;
     }
 
+    /** How the serials of a type's jobs begin; what must not run twice is told by it. */
+    private static String prefix(String type) {
+        return type.equals("render") ? "again" : "once";
+    }
+
     private static void count(Map<String, AtomicInteger> in, String what) {
         in.computeIfAbsent(what, w -> new AtomicInteger()).incrementAndGet();
     }
@@ -252,7 +257,7 @@
         for (int i = 0; i < jobs; i++) {
             pace(startedAt, i, jobs);
             String type = random.nextBoolean() ? "render" : "record";
-            String serial = type.charAt(0) + "-http-" + number + "-" + i;
+            String serial = prefix(type) + "-http-" + number + "-" + i;
             HttpRequest request = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + daemon.http.getPort() + "/" + type
                     + "/page")).header("X-Call-Id", HexFormat.of().toHexDigits(random.nextLong()))
                     .header("X-Budget-Ms", "" + BUDGET_MS).header("X-Route-Hash", "k" + random.nextInt(50))
@@ -320,7 +325,7 @@
             ArrayNode batch = FaktoryLink.JSON.createArrayNode();
             for (int j = 0; j < size; j++) {
                 boolean repeatable = random.nextBoolean();
-                String serial = (repeatable ? "c" : "i") + "-fak-" + number + "-" + (i + j);
+                String serial = prefix(repeatable ? "render" : "record") + "-fak-" + number + "-" + (i + j);
                 ObjectNode job = batch.addObject().put("jid", "jid-" + serial).put("jobtype", "Make")
                         .put("queue", repeatable ? "pages" : "entries").put("priority", 1 + random.nextInt(9));
                 job.putArray("args").add(serial);
@@ -391,7 +396,7 @@
     }
 
     private void ended(String serial, JsonNode state) {
-        String type = serial.startsWith("c") ? "render" : "record";
+        String type = serial.startsWith(prefix("render")) ? "render" : "record";
         String end = state.path("state").asText();
         count(ends, "Faktory " + type + (type.length() < 5 ? "  " : " ") + end
                 + (state.path("may_have_run").asBoolean() ? ", may have run" : ""));
@@ -408,7 +413,7 @@
     }
 
     private void check() {
-        stamps.repeated("i-").forEach(s -> broken.add("what must not ran twice: " + s));
+        stamps.repeated(prefix("record") + "-").forEach(s -> broken.add("what must not ran twice: " + s));
         for (FaktoryWorker worker : all) {
             if (worker.afterQuiet() > 0) {
                 broken.add("a quiet worker was handed " + worker.afterQuiet() + " jobs");
