--- a/src/test/java/loomreel/program/DiscoveryOutageTest.java
+++ b/src/test/java/loomreel/program/DiscoveryOutageTest.java
@@ -31,7 +31,7 @@
                 Http.write(idle.get(i), i % 3 == 0 ? "" : "GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n");
             }
             SteppedServer.Job job = server.job("/copy", "");
-            int to = server.await("send").field("worker").equals("w0") ? 0 : 1;
+            int to = server.awaitSend();
             server.serve(to, "while it is down");
             assertEquals("while it is down", job.answer().body());
             server.discovery = new Http.Peer(port);
--- a/src/test/java/loomreel/program/GoneClientTest.java
+++ b/src/test/java/loomreel/program/GoneClientTest.java
@@ -48,7 +48,7 @@
     void aFurtherAttemptIsTakenBackAsWell() throws Exception {
         try (SteppedServer server = new SteppedServer(2, c -> c.replace("\"Cancelling\":true", "\"Cancelling\":false"))) {
             SteppedServer.Job job = server.job("/copy", "");
-            int at = server.await("send").field("worker").equals("w0") ? 0 : 1;
+            int at = server.awaitSend();
             Http.Message post = server.workers.get(at).next();
             try (LatePeer late = server.workers.get(1 - at).lateFromNowOn()) {
                 post.from().close();
--- a/src/test/java/loomreel/program/SpoiltAnswerTest.java
+++ b/src/test/java/loomreel/program/SpoiltAnswerTest.java
@@ -32,7 +32,7 @@
     void aJobIsTakenOnceTheHeadSaysSo(Rest rest) throws Exception {
         try (SteppedServer server = new SteppedServer(2, c -> c)) {
             SteppedServer.Job job = server.job("/issue", "");
-            int at = server.await("send").field("worker").equals("w0") ? 0 : 1;
+            int at = server.awaitSend();
             Http.Message post = server.workers.get(at).next();
             Http.write(post.from(), "HTTP/1.1 202 x\r\n" + rest.bytes);
             if (rest.ends) {
@@ -63,7 +63,7 @@
     void aRefusalThatIsCutIsNoProof() throws Exception {
         try (SteppedServer server = new SteppedServer(2, c -> c)) {
             SteppedServer.Job job = server.job("/issue", "");
-            int at = server.await("send").field("worker").equals("w0") ? 0 : 1;
+            int at = server.awaitSend();
             Http.Message post = server.workers.get(at).next();
             Http.write(post.from(), "HTTP/1.1 503 x\r\nX-Rejected: 1\r\nContent-Length: 10\r\n\r\nabc");
             post.from().close();
@@ -89,7 +89,7 @@
     void doneThatCrossesALostAttemptIsActedOnOnce() throws Exception {
         try (SteppedServer server = new SteppedServer(2, c -> c)) {
             SteppedServer.Job job = server.job("/copy", "");
-            int at = server.await("send").field("worker").equals("w0") ? 0 : 1;
+            int at = server.awaitSend();
             Http.Message first = server.workers.get(at).next();
             first.answer(202, "");
             server.news(job.id(), "w" + at, "lost", "");
--- a/src/test/java/loomreel/program/Stage.java
+++ b/src/test/java/loomreel/program/Stage.java
@@ -77,18 +77,18 @@
     }
 
     Job job(Socket socket, String path, int budget, String body) throws IOException {
-        String id = String.format("%016x", ++ids);
-        Http.write(socket, "POST " + path + " HTTP/1.1\r\nHost: x\r\nX-Call-Id: " + id + "\r\nX-Budget-Ms: " + budget
-                + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
-        return new Job(id, socket);
+        return job(socket, path, budget, "", body);
     }
 
     /** A job that carries what copy workers tell its repeats by. */
     Job keyed(String path, String key) throws IOException {
-        Socket socket = connect();
+        return job(connect(), path, 20_000, "Idempotency-Key: " + key + "\r\n", "");
+    }
+
+    private static Job job(Socket socket, String path, int budget, String more, String body) throws IOException {
         String id = String.format("%016x", ++ids);
-        Http.write(socket, "POST " + path + " HTTP/1.1\r\nHost: x\r\nX-Call-Id: " + id + "\r\nX-Budget-Ms: 20000\r\n"
-                + "Idempotency-Key: " + key + "\r\nContent-Length: 0\r\n\r\n");
+        Http.write(socket, "POST " + path + " HTTP/1.1\r\nHost: x\r\nX-Call-Id: " + id + "\r\nX-Budget-Ms: " + budget
+                + "\r\n" + more + "Content-Length: " + body.length() + "\r\n\r\n" + body);
         return new Job(id, socket);
     }
 
--- a/src/test/java/loomreel/program/SteppedServer.java
+++ b/src/test/java/loomreel/program/SteppedServer.java
@@ -114,6 +114,11 @@
         }
     }
 
+    /** Waits for the next attempt; the number of the copy worker that it is for. */
+    int awaitSend() throws Exception {
+        return Integer.parseInt(((String) await("send").field("worker")).substring(1));
+    }
+
     /** The steps that were taken since the last one awaited. */
     List<Step> taken() {
         List<Step> all = new ArrayList<>();
