Keep operator overrides that cross on the hot restart link

Callers saw: a worker that an operator had disabled at the successor of an upgrade got jobs again, though the request had been answered 200; the stored file lacked it too.

Cause: the old process sends all its overrides when the successor connects, and changedElsewhere replaced the successor's own by them, with what was changed there after it had read the file. Two more of the same kind were found by reading: changes of one override that cross end swapped, and of three processes the outer ones never learn of each other's changes (the middle one even replaced its predecessor's overrides by its own).

The predecessor sends a change of its successor back if it has sent one of the same override on that link, so the successor's holds in both.

--- a/src/main/java/loomreel/process/HotRestart.java
+++ b/src/main/java/loomreel/process/HotRestart.java
@@ -76,11 +76,21 @@
     return channel.isPresent() && channel.get().hasSuccessor();
   }
 
-  /** Sends a message that needs no answer, if there is another process. */
+  /** Sends a message that needs no answer to each of the other processes. */
   void send(HotRestartMessage notice) {
     channel.ifPresent(to -> to.send(notice));
   }
 
+  /** Sends a message that needs no answer to the processes other than the one it came from. */
+  void relay(HotRestartLink source, HotRestartMessage notice) {
+    channel.ifPresent(to -> to.relay(source, notice));
+  }
+
+  /** Sends a message that needs no answer to the newest successor, if there is one. */
+  void sendToSuccessor(HotRestartMessage notice) {
+    channel.ifPresent(to -> to.sendToSuccessor(notice));
+  }
+
   /**
    * Forwards a callback whose job is not in flight here to the other process.
    *
--- a/src/main/java/loomreel/process/HotRestartChannel.java
+++ b/src/main/java/loomreel/process/HotRestartChannel.java
@@ -37,7 +37,7 @@
     void processDisconnected();
 
     /** A message was received that needs no answer. */
-    void noticeReceived(HotRestartMessage notice);
+    void noticeReceived(HotRestartLink source, HotRestartMessage notice);
 
     /**
      * A callback was received whose job is not in flight at the other process.
@@ -138,6 +138,20 @@
     new ArrayList<>(links).forEach(link -> link.send(notice));
   }
 
+  /** Sends a message that needs no answer to the processes other than the one it came from. */
+  void relay(HotRestartLink source, HotRestartMessage notice) {
+    new ArrayList<>(links)
+        .stream().filter(link -> link != source).forEach(link -> link.send(notice));
+  }
+
+  /** Sends a message that needs no answer to the newest successor, if there is one. */
+  void sendToSuccessor(HotRestartMessage notice) {
+    links.stream()
+        .filter(HotRestartLink::isToSuccessor)
+        .reduce((earlier, later) -> later)
+        .ifPresent(successor -> successor.send(notice));
+  }
+
   /**
    * Forwards a callback whose job is not in flight here.
    *
@@ -185,8 +199,8 @@
   }
 
   /** A message was received that needs no answer. */
-  void noticeReceived(HotRestartMessage notice) {
-    listener.noticeReceived(notice);
+  void noticeReceived(HotRestartLink source, HotRestartMessage notice) {
+    listener.noticeReceived(source, notice);
   }
 
   /** Removes a link that is being closed, before its callbacks count as handled. */
--- a/src/main/java/loomreel/process/HotRestartCoordinator.java
+++ b/src/main/java/loomreel/process/HotRestartCoordinator.java
@@ -52,27 +52,36 @@
   }
 
   @Override
-  public void noticeReceived(HotRestartMessage notice) {
-    OperatorOverrides overrides = operatorControls.overrides();
-    String text = notice.text();
+  public void noticeReceived(HotRestartLink source, HotRestartMessage notice) {
     switch (notice.type()) {
-      case CALL_ID_ACQUIRED -> hotRestart.acquiredElsewhere(text);
-      case CALL_ID_RELEASED -> hotRestart.releasedElsewhere(text);
+      case CALL_ID_ACQUIRED -> hotRestart.acquiredElsewhere(notice.text());
+      case CALL_ID_RELEASED -> hotRestart.releasedElsewhere(notice.text());
       case HANDING_OVER -> hotRestart.receiveCapacity();
-      case WORKER_DISABLED ->
-          operatorControls.changedElsewhere(overrides.withWorkerDisabled(text, true));
-      case WORKER_ENABLED ->
-          operatorControls.changedElsewhere(overrides.withWorkerDisabled(text, false));
-      case CLIENT_DRAIN_STARTED ->
-          operatorControls.changedElsewhere(overrides.withClientsDrained(true));
-      case CLIENT_DRAIN_STOPPED ->
-          operatorControls.changedElsewhere(overrides.withClientsDrained(false));
-      case OPERATOR_OVERRIDES -> operatorControls.changedElsewhere(OperatorOverrides.parse(text));
+      case WORKER_DISABLED, WORKER_ENABLED, CLIENT_DRAIN_STARTED, CLIENT_DRAIN_STOPPED ->
+          overrideReceived(source, OverrideChange.of(notice).orElseThrow());
+      case OPERATOR_OVERRIDES ->
+          operatorControls
+              .snapshotReceived(OperatorOverrides.parse(notice.text()))
+              .forEach(change -> hotRestart.relay(source, change.toMessage()));
       case CALLBACK, CALLBACK_HANDLED ->
           throw new IllegalArgumentException("not a notice: " + notice.type());
     }
   }
 
+  /**
+   * Applies a change of an override. Where two changes of one override cross on a link, the one of
+   * the successor holds in both processes: the predecessor sends it back, in case the successor has
+   * replaced it by the change that it received from here.
+   */
+  private void overrideReceived(HotRestartLink source, OverrideChange change) {
+    if (operatorControls.changedElsewhere(change)) {
+      hotRestart.relay(source, change.toMessage());
+    }
+    if (source.isToSuccessor() && source.hasSentOverride(change.target())) {
+      source.send(change.toMessage());
+    }
+  }
+
   @Override
   public boolean deliverCallback(byte[] callback) {
     return host.deliverCallback(callback);
--- a/src/main/java/loomreel/process/HotRestartLink.java
+++ b/src/main/java/loomreel/process/HotRestartLink.java
@@ -4,7 +4,9 @@
 import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import loomreel.http.BadMessageException;
 import loomreel.http.HttpConnection;
 import loomreel.http.HttpMessage;
@@ -25,6 +27,9 @@
 
   private long lastCallback;
 
+  /** The overrides of which this process has sent a change. */
+  private final Set<OverrideChange.Target> overridesSent = new HashSet<>();
+
   /**
    * A link over a connected socket, which it owns from now on.
    *
@@ -58,12 +63,21 @@
   /** Sends a message, or drops it where the link is closed. */
   void send(HotRestartMessage message) {
     if (!isClosed()) {
+      OverrideChange.of(message).ifPresent(change -> overridesSent.add(change.target()));
       out.append(message.head());
       out.append(message.body());
       flush();
     }
   }
 
+  /**
+   * Whether this process has sent a change of that override on this link: one from the other
+   * process may have crossed it.
+   */
+  boolean hasSentOverride(OverrideChange.Target target) {
+    return overridesSent.contains(target);
+  }
+
   /**
    * Sends a callback.
    *
@@ -95,7 +109,7 @@
               message.body(),
               () -> send(HotRestartMessage.callbackHandled(message.number())));
       case CALLBACK_HANDLED -> unhandledCallbacks.remove(message.number()).run();
-      default -> owner.noticeReceived(message);
+      default -> owner.noticeReceived(this, message);
     }
   }
 
--- a/src/main/java/loomreel/process/OperatorControls.java
+++ b/src/main/java/loomreel/process/OperatorControls.java
@@ -1,6 +1,9 @@
 package loomreel.process;
 
 import java.io.IOException;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import loomreel.core.Dispatcher;
@@ -28,6 +31,13 @@
   private final Runnable closeIdleClients;
   private OperatorOverrides overrides;
 
+  /** Whether a predecessor will send its overrides. */
+  private boolean awaitsPredecessor;
+
+  /** The last change here of each override while the predecessor's overrides are awaited. */
+  private final Map<OverrideChange.Target, OverrideChange> changesBeforeSnapshot =
+      new LinkedHashMap<>();
+
   /** Runs while the state is {@link ClientDrainState#NOTIFYING}. */
   private Optional<EventLoop.Timer> noticePeriod = Optional.empty();
 
@@ -51,14 +61,10 @@
     this.overrides = initial;
     this.clientDrain = clientDrain;
     this.hotRestart = hotRestart;
+    awaitsPredecessor = hotRestart.isShared();
     this.closeIdleClients = closeIdleClients;
   }
 
-  /** What operators have set. */
-  OperatorOverrides overrides() {
-    return overrides;
-  }
-
   /** The ids of the workers that operators have disabled. */
   public Set<String> disabledWorkers() {
     return overrides.disabledWorkers();
@@ -73,9 +79,7 @@
     boolean isDisabled = overrides.disabledWorkers().contains(id);
     boolean known = dispatcher.isListed(id) || isDisabled;
     if (known && isDisabled != disabled) {
-      HotRestartMessage.Type type =
-          disabled ? HotRestartMessage.Type.WORKER_DISABLED : HotRestartMessage.Type.WORKER_ENABLED;
-      change(overrides.withWorkerDisabled(id, disabled), HotRestartMessage.notice(type, id));
+      change(new OverrideChange.OfWorker(id, disabled));
     }
     return known;
   }
@@ -87,54 +91,83 @@
    */
   public void setClientDrain(boolean draining) throws IOException {
     if (overrides.clientsDrained() != draining) {
-      HotRestartMessage.Type type =
-          draining
-              ? HotRestartMessage.Type.CLIENT_DRAIN_STARTED
-              : HotRestartMessage.Type.CLIENT_DRAIN_STOPPED;
-      change(overrides.withClientsDrained(draining), HotRestartMessage.notice(type, ""));
+      change(new OverrideChange.OfClientDrain(draining));
     }
   }
 
-  private void change(OperatorOverrides next, HotRestartMessage notice) throws IOException {
+  private void change(OverrideChange change) throws IOException {
+    OperatorOverrides next = change.applyTo(overrides);
     store.save(next);
     apply(next);
-    hotRestart.send(notice);
+    if (awaitsPredecessor) {
+      changesBeforeSnapshot.put(change.target(), change);
+    }
+    hotRestart.send(change.toMessage());
   }
 
   /** Sends everything to a process that may have read the file just before the last change. */
   void sendAll() {
-    hotRestart.send(
+    hotRestart.sendToSuccessor(
         HotRestartMessage.notice(HotRestartMessage.Type.OPERATOR_OVERRIDES, overrides.toText()));
   }
 
-  /** Operators have changed something in the other process. */
-  void changedElsewhere(OperatorOverrides next) {
+  /**
+   * Operators have changed something in another process.
+   *
+   * @return whether that changes something here
+   */
+  boolean changedElsewhere(OverrideChange change) {
+    return !replace(change.applyTo(overrides)).isEmpty();
+  }
+
+  /**
+   * The predecessor has sent all that it has. What operators have changed here since the start is
+   * newer: the predecessor receives it after it has sent this.
+   *
+   * @return what that changes here
+   */
+  List<OverrideChange> snapshotReceived(OperatorOverrides ofPredecessor) {
+    OperatorOverrides next = ofPredecessor;
+    for (OverrideChange change : changesBeforeSnapshot.values()) {
+      next = change.applyTo(next);
+    }
+    awaitsPredecessor = false;
+    changesBeforeSnapshot.clear();
+    return replace(next);
+  }
+
+  private List<OverrideChange> replace(OperatorOverrides next) {
     try {
       // Both processes store it: two changes may cross, and the file must then contain both.
       store.save(next);
     } catch (IOException e) {
       log.warn("operator overrides of the other process not saved reason=" + e.getMessage());
     }
-    apply(next);
+    return apply(next);
   }
 
-  private void apply(OperatorOverrides next) {
-    OperatorOverrides previous = overrides;
+  private List<OverrideChange> apply(OperatorOverrides next) {
+    List<OverrideChange> changes = overrides.changesTo(next);
     overrides = next;
-    next.disabledWorkers().stream()
-        .filter(id -> !previous.disabledWorkers().contains(id))
-        .forEach(dispatcher::disableWorker);
-    previous.disabledWorkers().stream()
-        .filter(id -> !next.disabledWorkers().contains(id))
-        .forEach(dispatcher::enableWorker);
-    if (next.clientsDrained() != previous.clientsDrained()) {
-      noticePeriod.ifPresent(EventLoop.Timer::cancel);
-      if (next.clientsDrained()) {
-        startClientDrain();
+    changes.forEach(this::applyToDispatcher);
+    return changes;
+  }
+
+  private void applyToDispatcher(OverrideChange change) {
+    if (change instanceof OverrideChange.OfWorker ofWorker) {
+      if (ofWorker.disabled()) {
+        dispatcher.disableWorker(ofWorker.id());
       } else {
-        clientDrain.apply(ClientDrainState.Trigger.DRAIN_STOPPED);
-        noticePeriod = Optional.empty();
+        dispatcher.enableWorker(ofWorker.id());
       }
+      return;
+    }
+    noticePeriod.ifPresent(EventLoop.Timer::cancel);
+    noticePeriod = Optional.empty();
+    if (overrides.clientsDrained()) {
+      startClientDrain();
+    } else {
+      clientDrain.apply(ClientDrainState.Trigger.DRAIN_STOPPED);
     }
   }
 
--- a/src/main/java/loomreel/process/OperatorOverrides.java
+++ b/src/main/java/loomreel/process/OperatorOverrides.java
@@ -1,5 +1,7 @@
 package loomreel.process;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
 
@@ -34,6 +36,21 @@
     return text.toString();
   }
 
+  /** What changes where these are replaced by others. */
+  List<OverrideChange> changesTo(OperatorOverrides next) {
+    List<OverrideChange> changes = new ArrayList<>();
+    next.disabledWorkers.stream()
+        .filter(id -> !disabledWorkers.contains(id))
+        .forEach(id -> changes.add(new OverrideChange.OfWorker(id, true)));
+    disabledWorkers.stream()
+        .filter(id -> !next.disabledWorkers.contains(id))
+        .forEach(id -> changes.add(new OverrideChange.OfWorker(id, false)));
+    if (clientsDrained != next.clientsDrained) {
+      changes.add(new OverrideChange.OfClientDrain(next.clientsDrained));
+    }
+    return changes;
+  }
+
   /** The same with one worker disabled or enabled. */
   OperatorOverrides withWorkerDisabled(String id, boolean disabled) {
     Set<String> next = new TreeSet<>(disabledWorkers);
