Reject settings whose struct holds itself through a disjunction

Cause: each alternative of a disjunction is judged by a walk of its own (Evaluator.hasConflict), which counts its depth from 0 again, so the limit of 64 levels was never reached.

Change: the budget counts evaluations within each other, at most 128.

Evidence: CueTest.aStructThatHoldsItselfThroughADisjunctionIsRejected, on a stack of 512 KiB as deployed: 6 of 6 files ended in StackOverflowError before, all are rejected with the place now.

--- a/src/main/java/loomreel/settings/cue/EvaluationBudget.java
+++ b/src/main/java/loomreel/settings/cue/EvaluationBudget.java
@@ -11,7 +11,11 @@
   /** Far more levels than any installation's settings have. */
   private static final int MAX_DEPTH = 64;
 
+  /** Evaluations within each other; an alternative of a disjunction is evaluated by itself. */
+  private static final int MAX_NESTING = 128;
+
   private int steps;
+  private int nesting;
 
   /** An evaluation has reached one of its limits; the message names it. */
   static final class ExceededException extends RuntimeException {
@@ -29,6 +33,23 @@
     }
   }
 
+  /** An evaluation begins within those that have begun and not ended. */
+  void enter() {
+    step();
+    if (nesting == MAX_NESTING) {
+      throw new ExceededException(
+          "a struct that holds itself, or more than "
+              + MAX_NESTING
+              + " alternatives in each other");
+    }
+    nesting++;
+  }
+
+  /** The evaluation that has begun last ends. */
+  void leave() {
+    nesting--;
+  }
+
   /** Counts one step of a walk over values, at this depth. */
   void stepAt(int depth) {
     step();
--- a/src/main/java/loomreel/settings/cue/Evaluator.java
+++ b/src/main/java/loomreel/settings/cue/Evaluator.java
@@ -47,7 +47,15 @@
 
   /** Every value that the conjuncts allow together; one where they hold no disjunction. */
   List<Choice> evaluate(List<Conjunct> conjuncts) {
-    budget.step();
+    budget.enter();
+    try {
+      return evaluateNested(conjuncts);
+    } finally {
+      budget.leave();
+    }
+  }
+
+  private List<Choice> evaluateNested(List<Conjunct> conjuncts) {
     List<Conjunct> plain = new ArrayList<>();
     List<Conjunct> disjunctions = new ArrayList<>();
     Problem unresolved = null;
--- a/src/test/java/loomreel/settings/cue/CueTest.java
+++ b/src/test/java/loomreel/settings/cue/CueTest.java
@@ -1,17 +1,23 @@
 package loomreel.settings.cue;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
+import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** The values and errors of files, as CUE's own tools report them. */
 class CueTest {
+  /** As -Xss in {@code deploy/balancer.toml}. */
+  private static final int DEPLOYED_STACK_BYTES = 512 * 1024;
+
   @ParameterizedTest
   @CsvSource(
       delimiter = '§',
@@ -119,4 +125,29 @@
             assertEquals(
                 "{\"a\":1}", Cue.read("file", "a: " + "1 & ".repeat(50_000) + "1").toString()));
   }
+
+  /** Each alternative is evaluated by itself, within the struct that it may hold again. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "#A: {n: #A | {x: 1}}\na: #A",
+        "#A: {n: {x: 1} | #A}\na: #A",
+        "#A: {n: *#A | int}\na: #A",
+        "#A: {l: [#A | int]}\na: #A",
+        "#A: {n: #B | int}\n#B: {m: #A | string}\na: #A",
+        "a: {n: a | 1}"
+      })
+  void aStructThatHoldsItselfThroughADisjunctionIsRejected(String text) throws Exception {
+    AtomicReference<Throwable> failure = new AtomicReference<>();
+    Thread reader =
+        new Thread(
+            null,
+            () -> failure.set(assertThrows(Throwable.class, () -> Cue.read("file", text))),
+            "reader",
+            DEPLOYED_STACK_BYTES);
+    reader.start();
+    reader.join(60_000);
+    CueException e = assertInstanceOf(CueException.class, failure.get());
+    assertTrue(e.getMessage().startsWith("file:"), e.getMessage());
+  }
 }
