Keep writing to a full segment of the log while no further one can be opened

Callers saw (by reading): after a moment in which no segment could be created (descriptors, a full disk), Faktory pushes were rejected with "cannot be written: null" until a restart, and jobs accepted before could be stored twice.

Cause: openNextSegment passed the current file to the committer, which closes it, before the next one was created; every later write met ClosedChannelException. A full buffer was taken for one that was not written, since its limit equals its capacity either way. A segment whose header could not be written stayed behind, so the same number could never be created.

Change: the next segment is created first and removed if that fails; writing the buffer and opening a segment are separate steps; opening is tried again at the next write, also where nothing is buffered.

--- a/src/main/java/loomreel/wal/SegmentDirectory.java
+++ b/src/main/java/loomreel/wal/SegmentDirectory.java
@@ -122,16 +122,31 @@
     return otherBootId.equals(bootId) && !bootId.equals(UNKNOWN_BOOT_ID);
   }
 
-  /** Creates a segment with nothing but a header; the caller owns its file. */
+  /**
+   * Creates a segment with nothing but a header; the caller owns its file.
+   *
+   * @throws IOException if it cannot be created; there is no such file then, unless another process
+   *     has created it
+   */
   FileChannel create(int segment) throws IOException {
     FileChannel channel =
         FileChannel.open(file(segment), StandardOpenOption.CREATE_NEW, StandardOpenOption.WRITE);
-    channel.write(ByteBuffer.wrap(header()));
-    // Without a sync of the directory, a power failure may remove the file's name.
+    try {
+      channel.write(ByteBuffer.wrap(header()));
+      syncNames();
+    } catch (IOException e) {
+      channel.close();
+      delete(segment);
+      throw e;
+    }
+    return channel;
+  }
+
+  /** Without a sync of the directory, a power failure may remove a file's name. */
+  private void syncNames() throws IOException {
     try (FileChannel names = FileChannel.open(directory, StandardOpenOption.READ)) {
       names.force(true);
     }
-    return channel;
   }
 
   private byte[] header() {
--- a/src/main/java/loomreel/wal/WriteAheadLog.java
+++ b/src/main/java/loomreel/wal/WriteAheadLog.java
@@ -121,11 +121,12 @@
   }
 
   private void openNextSegment() throws IOException {
+    int next = segmentSizes.isEmpty() ? FIRST_SEGMENT : current() + 1;
+    FileChannel opened = directory.create(next);
     if (channel != null) {
       committer.retire(channel, appendedPosition);
     }
-    int next = segmentSizes.isEmpty() ? FIRST_SEGMENT : current() + 1;
-    channel = directory.create(next);
+    channel = opened;
     segmentSizes.put(next, (long) directory.headerBytes());
   }
 
@@ -171,33 +172,43 @@
 
   /**
    * Writes all appended records to the operating system. If that fails, they stay buffered for the
-   * next call, and {@link #fault()} has the reason.
+   * next call, and {@link #fault()} has the reason. If a full segment cannot be followed by
+   * another, {@link #fault()} has the reason as well, and the next call tries again.
    */
   public void write() {
-    if (buffer.position() == 0) {
+    if (buffer.position() == 0 && !isSegmentFull()) {
       return;
     }
-    int segment = current();
-    long sizeBefore = segmentSizes.get(segment);
+    try {
+      writeBuffer();
+      if (isSegmentFull()) {
+        openNextSegment();
+      }
+      fault = hasSyncFailed ? fault : Optional.empty();
+    } catch (IOException e) {
+      fault = Optional.of(WRITE_FAILED + e.getMessage());
+    }
+  }
+
+  private void writeBuffer() throws IOException {
+    long sizeBefore = segmentSizes.get(current());
     int length = buffer.position();
+    buffer.flip();
     try {
-      buffer.flip();
       while (buffer.hasRemaining()) {
         channel.write(buffer, sizeBefore + buffer.position());
       }
-      buffer.clear();
-      segmentSizes.put(segment, sizeBefore + length);
-      fault = hasSyncFailed ? fault : Optional.empty();
-      if (sizeBefore + length > segmentBytes) {
-        openNextSegment();
-      }
     } catch (IOException e) {
-      // Unless all of it was written, the next call overwrites the part that was.
-      if (buffer.limit() == length) {
-        buffer.position(length).limit(buffer.capacity());
-      }
-      fault = Optional.of(WRITE_FAILED + e.getMessage());
+      // The next call overwrites the part that was written.
+      buffer.position(length).limit(buffer.capacity());
+      throw e;
     }
+    buffer.clear();
+    segmentSizes.put(current(), sizeBefore + length);
+  }
+
+  private boolean isSegmentFull() {
+    return segmentSizes.get(current()) > segmentBytes;
   }
 
   /** Writes, and runs an action once all records appended so far survive a power failure. */
--- a/src/test/java/loomreel/wal/WriteAheadLogTest.java
+++ b/src/test/java/loomreel/wal/WriteAheadLogTest.java
@@ -19,6 +19,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Records that were written are read back, up to the last complete one. */
 @Timeout(60)
@@ -110,6 +112,32 @@
     assertEquals(List.of("y"), read);
   }
 
+  /** Records that fill the buffer are written once, also where no further segment can be opened. */
+  @ParameterizedTest
+  @ValueSource(ints = {120, 256 * 1024 - LogRecord.HEADER_BYTES})
+  void aFullSegmentThatCannotBeFollowedKeepsItsRecordsOnce(int recordLength) throws Exception {
+    String large = "x".repeat(recordLength);
+    try (WriteAheadLog log = open(new ArrayList<>(), 100)) {
+      Files.createDirectory(segment(2));
+      add(log, large);
+      log.write();
+      assertTrue(log.fault().isPresent());
+      add(log, "while no segment can be opened");
+      log.write();
+      assertTrue(log.fault().isPresent());
+
+      Files.delete(segment(2));
+
+      log.write();
+      assertEquals(Optional.empty(), log.fault());
+      assertEquals(2, log.current());
+      add(log, "after");
+    }
+    List<String> read = new ArrayList<>();
+    open(read, 100).close();
+    assertEquals(List.of(large, "while no segment can be opened", "after"), read);
+  }
+
   /** An action for what is synced already runs at once. */
   @Test
   void syncActionsRunInOrderOnTheLoop() throws Exception {
