Send nothing by the configured list until discovery has confirmed it

Cause: where discovery is polled a process served by its configuration's list from its first moment, while the first list came 0.12 to 1.53 s later.

Change: there are no workers before discovery has confirmed or updated that list; jobs wait in the policy's queue, or are rejected in time; the process is not ready until then. The first call does not wait for a change. After two failed calls or 7 s the configured list is used. Pushed lists use the same mechanism: before, a process that waited for its agent left requests unread. A successor accepts no clients before, unless its predecessor hands over or ends.

The harness answers the first call of a dispatcher as discovery whose list has not changed, and waits for the process to be ready, so tests see the calls after it as before; startSuccessor waits for the list before it checks readiness.

--- a/src/main/java/loomreel/config/EndpointList.java
+++ b/src/main/java/loomreel/config/EndpointList.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import loomreel.decision.Endpoint;
@@ -28,6 +29,19 @@
 
   private static final long MICROS_PER_MILLI = 1000;
 
+  /** This list with the changes of a later one, or the later one where that is complete. */
+  public EndpointList updatedBy(EndpointList later) {
+    if (later.complete) {
+      return later;
+    }
+    Map<String, Endpoint> merged = new LinkedHashMap<>();
+    endpoints.forEach(endpoint -> merged.put(endpoint.id(), endpoint));
+    later.endpoints.forEach(endpoint -> merged.put(endpoint.id(), endpoint));
+    Map<String, InetSocketAddress> mergedAddresses = new HashMap<>(addresses);
+    mergedAddresses.putAll(later.addresses);
+    return new EndpointList(later.version, complete, List.copyOf(merged.values()), mergedAddresses);
+  }
+
   /**
    * Reads a list in discovery's form.
    *
--- a/src/main/java/loomreel/discovery/EndpointWatcher.java
+++ b/src/main/java/loomreel/discovery/EndpointWatcher.java
@@ -27,6 +27,9 @@
     /** Discovery has sent an endpoint list, or with changes to the last one. */
     void endpointsReceived(EndpointList result);
 
+    /** Discovery has confirmed that the list that is known has not changed. */
+    void endpointsUnchanged();
+
     /**
      * Discovery is unavailable and the watch has ended; the last list stays valid. The listener
      * decides when to call {@link EndpointWatcher#watch} again.
@@ -37,6 +40,9 @@
   /** No version is known, so the complete list is requested; versions count from 0. */
   private static final long NO_VERSION = -1;
 
+  /** Discovery responds at once. */
+  private static final long NO_WAIT = 0;
+
   private static final String ENDPOINTS_PATH = "/registry/instances";
   private static final String VERSION_PARAMETER = "from";
   private static final String MAX_WAIT_MILLIS_PARAMETER = "hold_ms";
@@ -56,6 +62,9 @@
   /** The version of the last list, or {@link #NO_VERSION}. */
   private long version;
 
+  /** Whether discovery has responded with a list since this watcher was created. */
+  private boolean isConfirmed;
+
   private boolean calling;
 
   /** When the last call began. */
@@ -70,7 +79,9 @@
   private PooledConnection connection;
 
   /**
-   * Creates a watcher that makes no call before {@link #watch}.
+   * Creates a watcher that makes no call before {@link #watch}. Until discovery has responded with
+   * a list, its calls do not wait for a change: the list that is known may have been outdated for
+   * long.
    *
    * @param version the version of the list that is known
    */
@@ -96,25 +107,31 @@
     calling = true;
     calledAt = loop.now();
     trace(TRACE_CALL, "from");
-    boolean waitsForChange = version != NO_VERSION;
+    boolean waitsForChange = isConfirmed && version != NO_VERSION;
     EndpointListCall call = new EndpointListCall(this, timeouts.deadline(calledAt, waitsForChange));
     PooledConnection opened = discovery.call(request(waitsForChange), call);
     // The call may have failed already.
     connection = calling ? opened : null;
   }
 
+  /**
+   * A request for the changes since the version that is known, or for the complete list.
+   *
+   * @param waitsForChange whether discovery may delay the response until the list changes
+   */
   private ByteQueue request(boolean waitsForChange) {
+    long maxWait = waitsForChange ? timeouts.maxWait() : NO_WAIT;
     String query =
-        waitsForChange
-            ? "?"
+        version == NO_VERSION
+            ? ""
+            : "?"
                 + VERSION_PARAMETER
                 + "="
                 + version
                 + "&"
                 + MAX_WAIT_MILLIS_PARAMETER
                 + "="
-                + timeouts.maxWait() / MICROS_PER_MILLI
-            : "";
+                + maxWait / MICROS_PER_MILLI;
     ByteQueue request = new ByteQueue(loop.pool());
     request.append(HttpHeaders.request("GET", ENDPOINTS_PATH + query, hostAndPort(), 0));
     return request;
@@ -194,11 +211,14 @@
 
   private void accept(EndpointList list) {
     version = list.version();
+    isConfirmed = true;
     trace(TRACE_LIST_RECEIVED, "seq");
     // The next call first: the watch counts as failed if it is late.
     watch();
     if (list.complete() || !list.endpoints().isEmpty()) {
       listener.endpointsReceived(list);
+    } else {
+      listener.endpointsUnchanged();
     }
   }
 
--- a/src/main/java/loomreel/process/HotRestartCoordinator.java
+++ b/src/main/java/loomreel/process/HotRestartCoordinator.java
@@ -11,6 +11,9 @@
     /** Divides the file descriptors; {@code shared} if another process serves beside this one. */
     void divideDescriptors(boolean shared);
 
+    /** Accepts clients, which no other process does; does nothing if this process accepts them. */
+    void acceptClients();
+
     /**
      * Delivers a callback that the other process received.
      *
@@ -44,6 +47,9 @@
   @Override
   public void processDisconnected() {
     divideResources();
+    if (!hotRestart.isShared()) {
+      host.acceptClients();
+    }
   }
 
   private void divideResources() {
@@ -56,7 +62,10 @@
     switch (notice.type()) {
       case CALL_ID_ACQUIRED -> hotRestart.acquiredElsewhere(notice.text());
       case CALL_ID_RELEASED -> hotRestart.releasedElsewhere(notice.text());
-      case HANDING_OVER -> hotRestart.receiveCapacity();
+      case HANDING_OVER -> {
+        hotRestart.receiveCapacity();
+        host.acceptClients();
+      }
       case WORKER_DISABLED, WORKER_ENABLED, CLIENT_DRAIN_STARTED, CLIENT_DRAIN_STOPPED ->
           overrideReceived(source, OverrideChange.of(notice).orElseThrow());
       case OPERATOR_OVERRIDES ->
--- a/src/main/java/loomreel/server/HotRestartHost.java
+++ b/src/main/java/loomreel/server/HotRestartHost.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import loomreel.core.Dispatcher;
+import loomreel.ingress.HttpIngress;
 import loomreel.process.HotRestartCoordinator;
 import loomreel.upstream.JobStatusUpdate;
 
@@ -9,10 +10,12 @@
 final class HotRestartHost implements HotRestartCoordinator.Host {
   private final Dispatcher dispatcher;
   private final DescriptorAllocator descriptors;
+  private final HttpIngress http;
 
-  HotRestartHost(Dispatcher dispatcher, DescriptorAllocator descriptors) {
+  HotRestartHost(Dispatcher dispatcher, DescriptorAllocator descriptors, HttpIngress http) {
     this.dispatcher = dispatcher;
     this.descriptors = descriptors;
+    this.http = http;
   }
 
   @Override
@@ -20,6 +23,11 @@
     descriptors.allocate(shared);
   }
 
+  @Override
+  public void acceptClients() {
+    http.open();
+  }
+
   @Override
   public boolean deliverCallback(byte[] callback) {
     Optional<JobStatusUpdate> update =
--- a/src/main/java/loomreel/server/Server.java
+++ b/src/main/java/loomreel/server/Server.java
@@ -97,7 +97,7 @@
             faktory,
             http);
     HotRestartCoordinator.attach(
-        hotRestart, operatorControls, new HotRestartHost(dispatcher, descriptors));
+        hotRestart, operatorControls, new HotRestartHost(dispatcher, descriptors, http));
     descriptors.allocate(hotRestart.isShared());
     logListening(config);
   }
@@ -199,12 +199,17 @@
 
   private void start() {
     dispatcher.start(operatorControls.disabledWorkers());
-    workers.start(this::openToClients);
+    workers.start(this::endpointsKnown);
+    // A predecessor accepts clients until this process has its endpoint list. Without one, clients
+    // that do not wait for this process to be ready would get no answer at all.
+    if (!hotRestart.isShared()) {
+      http.open();
+    }
     dispatcher.startPeriodicTasks();
     hotRestart.divideCapacity();
   }
 
-  private void openToClients() {
+  private void endpointsKnown() {
     shutdown.endpointsKnown();
     http.open();
   }
--- a/src/main/java/loomreel/server/ServerAdmissionGate.java
+++ b/src/main/java/loomreel/server/ServerAdmissionGate.java
@@ -19,7 +19,7 @@
 
   @Override
   public boolean acceptsClients() {
-    return !clientDrain.isActive();
+    return lifecycle.state().hasEndpoints() && !clientDrain.isActive();
   }
 
   @Override
--- a/src/main/java/loomreel/server/ServerState.java
+++ b/src/main/java/loomreel/server/ServerState.java
@@ -20,13 +20,13 @@
  * </table>
  */
 enum ServerState {
-  /** Not yet open to clients: the first endpoint list is awaited. */
+  /** The first endpoint list is awaited: jobs are accepted and wait for workers. */
   STARTING,
 
-  /** Open to clients. */
+  /** Ready for clients. */
   SERVING,
 
-  /** Shutdown requested before it was open; it may still open within the grace period. */
+  /** Shutdown requested in {@link #STARTING}; the list may still arrive in the grace period. */
   DRAINING_UNOPENED,
 
   /** Shutdown requested without a successor: serves as before until the grace period ends. */
@@ -91,6 +91,11 @@
     return this == SERVING || this == DRAINING;
   }
 
+  /** Whether the first endpoint list has been received, or is not awaited any more. */
+  boolean hasEndpoints() {
+    return this != STARTING && this != DRAINING_UNOPENED;
+  }
+
   /** Whether every connection closes when it falls idle. */
   boolean isClosing() {
     return this == HANDING_OVER || this == CLOSING || this == STOPPED;
--- a/src/main/java/loomreel/standin/BackgroundThreads.java
+++ b/src/main/java/loomreel/standin/BackgroundThreads.java
@@ -14,16 +14,21 @@
 
   /** Starts a daemon thread for a task. */
   public static void start(Task work) {
-    Thread thread =
-        new Thread(
+    daemon(
             () -> {
               try {
                 work.run();
               } catch (IOException | InterruptedException e) {
                 // The other side closed the connection, or the run is over.
               }
-            });
+            })
+        .start();
+  }
+
+  /** A daemon thread that has not been started. */
+  static Thread daemon(Runnable work) {
+    Thread thread = new Thread(work);
     thread.setDaemon(true);
-    thread.start();
+    return thread;
   }
 }
--- a/src/main/java/loomreel/training/ClassArchiveTraining.java
+++ b/src/main/java/loomreel/training/ClassArchiveTraining.java
@@ -11,17 +11,22 @@
 import loomreel.standin.ExecutionLog;
 import loomreel.standin.HttpWorker;
 import loomreel.standin.Loopback;
+import loomreel.standin.UnchangingDiscovery;
 
 /**
- * The training run for an archive of classes (AppCDS): a configuration, a worker and a client with
- * a few jobs for a dispatcher on loopback. The JVM archives the classes that the dispatcher loads
- * meanwhile, which makes later starts quicker.
+ * The training run for an archive of classes (AppCDS): a configuration, discovery, a worker and a
+ * client with a few jobs for a dispatcher on loopback. The JVM archives the classes that the
+ * dispatcher loads meanwhile, which makes later starts quicker.
  */
 public final class ClassArchiveTraining implements AutoCloseable {
   private static final int JOBS = 40;
   private static final int TIMEOUT_MS = 5000;
 
+  /** The version of the configured endpoint list. */
+  private static final int LIST_VERSION = 1;
+
   private final HttpWorker worker;
+  private final UnchangingDiscovery discovery;
   private final InetSocketAddress listen;
   private final Path configuration;
 
@@ -31,13 +36,14 @@
       listen = new InetSocketAddress(free.getInetAddress(), free.getLocalPort());
     }
     worker = new HttpWorker("w0", () -> listen, 4, 1, new ExecutionLog());
+    discovery = new UnchangingDiscovery(LIST_VERSION);
     configuration = Files.createTempFile("loomreel", ".json");
     Files.writeString(
         configuration,
         """
-        {"name":"rehearsal","listen":"127.0.0.1:%d","discovery":"127.0.0.1:1","seed":"1",
+        {"name":"rehearsal","listen":"127.0.0.1:%d","discovery":"%s","seed":"1",
          "limits":{"cores":1.0,"memory_mb":64,"sockets":256},
-         "known":{"seq":1,"whole":true,"hosts":[{"host":"w0","dial":"%s","site":"a","class":"m","block":0,
+         "known":{"seq":%d,"whole":true,"hosts":[{"host":"w0","dial":"%s","site":"a","class":"m","block":0,
           "health":"SERVING","share":1.0,"born_ms":0}]},
          "settings":{"Balancers":1,"Discovery":"ask","Dcs":["a"],"HostTypes":["m"],"Locality":"a","TickS":0.004,
           "RequestClasses":[{"Name":"render","TargetS":2,"DeadlineS":4,"Repeat":"free","Value":3},
@@ -49,7 +55,7 @@
           "Invariants":{"StopSendingWithinS":3,"AskWithinS":1,"ColdFrom":0.2,"ColdS":20,"TipMultiple":2.5,
            "FallS":3,"AnswerSlackS":0.016}}}
         """
-            .formatted(listen.getPort(), worker.address()));
+            .formatted(listen.getPort(), discovery.address(), LIST_VERSION, worker.address()));
   }
 
   /** The configuration file that the dispatcher is to be started with. */
@@ -94,6 +100,7 @@
   @Override
   public void close() throws IOException {
     worker.close();
+    discovery.close();
     Files.deleteIfExists(configuration);
   }
 }
--- a/src/main/java/loomreel/upstream/HttpWorkerPool.java
+++ b/src/main/java/loomreel/upstream/HttpWorkerPool.java
@@ -41,11 +41,14 @@
   private final IdleTimeoutEstimator idleTimeout;
   private final EndpointList initialEndpoints;
 
+  /** The initial endpoint list until discovery has confirmed or updated it; empty from then on. */
+  private Optional<EndpointList> unconfirmed = Optional.empty();
+
   /** Empty where the endpoint list is static. */
   private final Optional<EndpointWatcher> watcher;
 
-  /** Whether the first list from discovery has to be awaited before jobs are sent. */
-  private final boolean awaitsFirstList;
+  /** Whether lists are pushed to an agent on this machine. */
+  private final boolean isPushed;
 
   private final FirstListBarrier firstListBarrier;
 
@@ -72,15 +75,15 @@
     super(dispatcher);
     this.initialEndpoints = initialEndpoints;
     this.connectTimeoutMicros = connectTimeoutMicros;
-    firstListBarrier = new FirstListBarrier(dispatcher.loop(), log);
+    isPushed = !settings.pollsEndpoints();
+    firstListBarrier =
+        new FirstListBarrier(dispatcher.loop(), isPushed ? "discovery agent" : "discovery", log);
     idleTimeout =
         new IdleTimeoutEstimator((long) (workerIdleTimeoutMicros * IDLE_TIMEOUT_FRACTION));
     if (discovery == null) {
-      awaitsFirstList = false;
       watcher = Optional.empty();
     } else {
       WatchTimeouts timeouts = WatchTimeouts.of(settings.rules(), settings.pollsEndpoints());
-      awaitsFirstList = timeouts.pushed();
       watcher =
           Optional.of(
               new EndpointWatcher(
@@ -109,20 +112,35 @@
   }
 
   /**
-   * Announces the initial endpoint list, which is enough to serve where discovery is polled. Where
-   * lists are pushed to an agent on this machine, its list counts as known from the start, so
-   * {@link FirstListBarrier} awaits it.
+   * Announces the initial endpoint list once discovery has confirmed or updated it: workers of a
+   * list of unknown age may have been draining or removed for longer than the grace. Until then
+   * there are no workers, and jobs wait. Where discovery is polled, the policy decides when to call
+   * it first; an agent is called at once.
    *
-   * @param onReady called once, when jobs may be sent by the list that is known then
+   * @param onReady called once, when jobs may be sent by the list that is known then; at once where
+   *     the list is static
    */
   public void start(Runnable onReady) {
-    endpointsReceived(initialEndpoints);
-    if (!awaitsFirstList) {
+    if (watcher.isEmpty()) {
+      endpointsReceived(initialEndpoints);
       onReady.run();
       return;
     }
-    firstListBarrier.await(onReady);
-    watcher.ifPresent(EndpointWatcher::watch);
+    unconfirmed = Optional.of(initialEndpoints);
+    firstListBarrier.await(
+        () -> {
+          announceUnconfirmed();
+          onReady.run();
+        });
+    if (isPushed) {
+      watcher.get().watch();
+    }
+  }
+
+  private void announceUnconfirmed() {
+    Optional<EndpointList> initial = unconfirmed;
+    unconfirmed = Optional.empty();
+    initial.ifPresent(this::announce);
   }
 
   /** Watches discovery at another address from now on; does nothing if the list is static. */
@@ -148,26 +166,38 @@
 
   @Override
   public void watchFailed() {
+    firstListBarrier.callFailed();
     dispatcher.watchFailed();
   }
 
   @Override
   public void endpointsReceived(EndpointList result) {
+    EndpointList next = unconfirmed.map(initial -> initial.updatedBy(result)).orElse(result);
+    unconfirmed = Optional.empty();
+    announce(next);
+    firstListBarrier.release();
+  }
+
+  private void announce(EndpointList list) {
     Map<String, HttpSubchannel> missing = new HashMap<>(subchannels);
-    for (Endpoint endpoint : result.endpoints()) {
+    for (Endpoint endpoint : list.endpoints()) {
       missing.remove(endpoint.id());
-      updateSubchannel(endpoint, result.addresses().get(endpoint.id()));
+      updateSubchannel(endpoint, list.addresses().get(endpoint.id()));
     }
-    if (result.complete()) {
+    if (list.complete()) {
       new ArrayList<>(missing.keySet()).forEach(this::retire);
     }
-    dispatcher.endpointsChanged(this, result.complete(), result.endpoints());
-    result.endpoints().stream()
+    dispatcher.endpointsChanged(this, list.complete(), list.endpoints());
+    list.endpoints().stream()
         .filter(endpoint -> endpoint.state() != Endpoint.State.READY)
         .forEach(endpoint -> dispatcher.abortUnsentAttempts(endpoint.id()));
-    if (result.complete()) {
+    if (list.complete()) {
       missing.keySet().forEach(dispatcher::abortUnsentAttempts);
     }
+  }
+
+  @Override
+  public void endpointsUnchanged() {
     firstListBarrier.release();
   }
 
--- a/src/test/java/loomreel/discovery/WatchTimeoutsTest.java
+++ b/src/test/java/loomreel/discovery/WatchTimeoutsTest.java
@@ -184,25 +184,48 @@
     }
   }
 
+  /**
+   * A process that starts sends nothing by a list of unknown age: whatever becomes of its first
+   * call, the second one is made, with half a second for its response, while it still waits.
+   */
+  @ParameterizedTest
+  @ValueSource(doubles = {0, 0.2, 0.5, 1, 2, 3, 10})
+  void aProcessThatStartsCallsTwiceBeforeItServesAListOfUnknownAge(double grace) {
+    for (Ending ending : Ending.values()) {
+      for (int seed = 0; seed < 50; seed++) {
+        long called = startUntilPolledAgain(grace, ending, seed);
+        assertTrue(
+            called + SECOND / 2 <= WatchTimeouts.FIRST_LIST_TIMEOUT,
+            "polled " + called + " us after the start: " + ending);
+      }
+    }
+  }
+
+  /** From the start of a process, whose first call fails, to that of its second call. */
+  private static long startUntilPolledAgain(double grace, Ending ending, long seed) {
+    WatchTimeouts timeouts = timeouts(grace, true);
+    List<Action> actions = new ArrayList<>();
+    DispatchPolicy policy = startedPolicy(grace, seed, actions);
+    Action.SetTimer first = (Action.SetTimer) actions.get(0);
+    long calledAt = first.time();
+    policy.on(new Event.TimerFired(first.token()), calledAt, actions);
+    long end = calledAt + ending.duration(timeouts.deadline(0, false));
+    Failure failure = Failure.of(ending.outcome, false, false);
+    OptionalLong retryTime = timeouts.retryTime(failure, false, calledAt, end);
+    if (retryTime.isPresent()) {
+      return retryTime.getAsLong();
+    }
+    actions.clear();
+    policy.on(new Event.WatchFailed(), end, actions);
+    return ((Action.SetTimer) actions.get(0)).time();
+  }
+
   /** From the start of the last of these calls, which all fail, to that of the one after it. */
   private static long reachableUntilPolled(double grace, Ending[] sequence, long seed) {
     WatchTimeouts timeouts = timeouts(grace, true);
-    DispatchPolicy policy = new DispatchPolicy();
     List<Action> actions = new ArrayList<>();
+    DispatchPolicy policy = startedPolicy(grace, seed, actions);
     Rules rules = rules(grace);
-    policy.on(
-        new Event.Start(
-            seed,
-            Settings.builder()
-                .rules(rules)
-                .limits(new Settings.Limits(4, true, true, false, false, 0))
-                .dispatchers(20)
-                .zone("z")
-                .pollsEndpoints(true)
-                .tick(4000)
-                .build()),
-        0,
-        actions);
     long calledAt = 0;
     long nextAt = 0;
     boolean silent = false;
@@ -225,4 +248,22 @@
     }
     return nextAt - calledAt;
   }
+
+  private static DispatchPolicy startedPolicy(double grace, long seed, List<Action> actions) {
+    DispatchPolicy policy = new DispatchPolicy();
+    policy.on(
+        new Event.Start(
+            seed,
+            Settings.builder()
+                .rules(rules(grace))
+                .limits(new Settings.Limits(4, true, true, false, false, 0))
+                .dispatchers(20)
+                .zone("z")
+                .pollsEndpoints(true)
+                .tick(4000)
+                .build()),
+        0,
+        actions);
+    return policy;
+  }
 }
--- a/src/test/java/loomreel/program/harness/DispatcherHarness.java
+++ b/src/test/java/loomreel/program/harness/DispatcherHarness.java
@@ -32,6 +32,7 @@
   private static final AtomicInteger JOB_IDS = new AtomicInteger();
 
   private StubHttpServer discovery = new StubHttpServer();
+  private boolean confirmsKnownLists;
   private final List<StubHttpServer> workers = new ArrayList<>();
 
   /** Starts stub discovery and stub workers. */
@@ -52,6 +53,7 @@
   /** Replaces discovery by a stub at a port, which the closed one may have used; 0 for any. */
   public final void restartDiscovery(int port) throws IOException {
     discovery = new StubHttpServer(port);
+    discovery.confirmKnownLists(confirmsKnownLists);
   }
 
   /** A stub worker. */
@@ -71,6 +73,8 @@
 
   /** A copy of a configuration with discovery and the endpoint list that is known at the start. */
   TestConfiguration complete(TestConfiguration configuration) {
+    confirmsKnownLists = configuration.isKnownListConfirmed();
+    discovery.confirmKnownLists(confirmsKnownLists);
     EndpointList known = endpointList(KNOWN_SEQUENCE, Extent.COMPLETE, configuration.knownHealth());
     return configuration.copy().discoveryAddress(discovery.address()).knownEndpoints(known);
   }
--- a/src/test/java/loomreel/program/harness/DispatcherProcess.java
+++ b/src/test/java/loomreel/program/harness/DispatcherProcess.java
@@ -23,6 +23,8 @@
  * were started one after the other, and {@link #process} is the supervisor.
  */
 public final class DispatcherProcess extends DispatcherHarness {
+  private static final String FIRST_LIST_LOGGED = "first endpoint list received";
+
   private final Process process;
   private final Path temporaryDirectory = Files.createTempDirectory("loomreel");
   private final List<ProcessHandle> instances = new ArrayList<>();
@@ -68,6 +70,9 @@
     if (configuration.hasManagementApi()) {
       managementPorts.add(awaitLoggedPort("admin server listening address"));
     }
+    if (configuration.isKnownListConfirmed()) {
+      awaitLog(FIRST_LIST_LOGGED);
+    }
   }
 
   /** A dispatcher with a management API. */
@@ -126,6 +131,7 @@
   public void startSuccessor() throws IOException {
     startInstance();
     managementPorts.add(awaitLoggedPort("admin server listening address"));
+    awaitLog(FIRST_LIST_LOGGED);
     assertEquals(200, callManagement(instances.size() - 1, "GET", "readiness", "").status());
   }
 
--- a/src/test/java/loomreel/program/harness/StepControlledServer.java
+++ b/src/test/java/loomreel/program/harness/StepControlledServer.java
@@ -45,6 +45,7 @@
     ATTEMPT_ENDED("end"),
     /** A cancellation goes out to the worker of an attempt. */
     CANCELLATION_SENT("cancel"),
+    LIST_APPLIED("list"),
     WATCH_FAILED("listlost"),
     SHUTDOWN_REQUESTED("drain"),
     LOOP_STOPPED("stop"),
@@ -101,6 +102,19 @@
     loopThread = new Thread(this::runLoop, "step-controlled server");
     loopThread.setDaemon(true);
     loopThread.start();
+    if (configuration.isKnownListConfirmed()) {
+      awaitFirstList();
+    }
+  }
+
+  private void awaitFirstList() throws InterruptedException {
+    long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(HttpIo.TIMEOUT_MILLIS);
+    while (stepCount(Step.LIST_APPLIED) == 0) {
+      if (System.nanoTime() > deadline) {
+        throw new AssertionError("no endpoint list");
+      }
+      Thread.sleep(1);
+    }
   }
 
   private void runLoop() {
--- a/src/test/java/loomreel/program/harness/StubHttpServer.java
+++ b/src/test/java/loomreel/program/harness/StubHttpServer.java
@@ -8,6 +8,9 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import loomreel.program.harness.EndpointList.Extent;
 import loomreel.standin.BackgroundThreads;
 
 /**
@@ -17,10 +20,14 @@
 public final class StubHttpServer implements AutoCloseable {
   private static final int BACKLOG = 50;
 
+  /** A dispatcher that starts asks whether the list that it knows has changed. */
+  private static final Pattern CALL_FOR_CONFIRMATION = Pattern.compile("[?]from=(\\d+)&hold_ms=0 ");
+
   private final ServerSocket listener;
   private final BlockingQueue<HttpMessage> requests = new LinkedBlockingQueue<>();
   private final BlockingQueue<Socket> closedConnections = new LinkedBlockingQueue<>();
   private final AtomicInteger connectionCount = new AtomicInteger();
+  private volatile boolean confirmsKnownLists;
 
   /** Listens on a free port. */
   public StubHttpServer() throws IOException {
@@ -44,12 +51,25 @@
   private void readRequests(Socket connection) throws IOException {
     HttpMessage request = HttpIo.read(connection);
     while (request != null) {
-      requests.add(request);
+      Matcher listCall = CALL_FOR_CONFIRMATION.matcher(request.startLine());
+      if (confirmsKnownLists && listCall.find()) {
+        new EndpointList(Integer.parseInt(listCall.group(1)), Extent.CHANGES).respondTo(request);
+      } else {
+        requests.add(request);
+      }
       request = HttpIo.read(connection);
     }
     closedConnections.add(connection);
   }
 
+  /**
+   * Sets whether a call of a dispatcher that starts is answered, as by discovery whose list has not
+   * changed, rather than queued. Other calls are always queued.
+   */
+  public void confirmKnownLists(boolean newValue) {
+    confirmsKnownLists = newValue;
+  }
+
   /** The address of the listener. */
   public InetSocketAddress socketAddress() {
     return (InetSocketAddress) listener.getLocalSocketAddress();
--- a/src/test/java/loomreel/program/harness/TestConfiguration.java
+++ b/src/test/java/loomreel/program/harness/TestConfiguration.java
@@ -33,6 +33,7 @@
 
   private final ObjectNode root;
   private List<Health> knownHealth = List.of(Health.SERVING);
+  private boolean isKnownListConfirmed = true;
 
   /** The standard configuration: the request classes copy and issue, polled discovery. */
   public TestConfiguration() {
@@ -52,6 +53,7 @@
   private TestConfiguration(TestConfiguration original) {
     root = original.root.deepCopy();
     knownHealth = original.knownHealth;
+    isKnownListConfirmed = original.isKnownListConfirmed;
   }
 
   private static void putPolicyLimits(ObjectNode limits) {
@@ -127,6 +129,18 @@
     return knownHealth.toArray(Health[]::new);
   }
 
+  /** Has the test answer the first call to polled discovery, which is confirmed otherwise. */
+  public TestConfiguration knownListUnconfirmed() {
+    isKnownListConfirmed = false;
+    return this;
+  }
+
+  /** Whether discovery is polled and confirms the list that is known at the start. */
+  boolean isKnownListConfirmed() {
+    boolean isPolled = settings().path("Discovery").asText().equals(DiscoveryMode.POLL.settingName);
+    return isPolled && isKnownListConfirmed;
+  }
+
   /** Replaces all settings of the deployment. */
   public TestConfiguration deploymentSettings(ObjectNode settings) {
     root.set("settings", settings);
