Fail a job that a worker answers with 400, without another attempt

Callers saw: an idempotent job whose id is in use, or that workers find invalid for another reason, was sent to up to four workers, and then rejected with Retry-After, which invites the same again; in the test its answer came after 20 s.

Cause: JobCall counted every status but 202, 500 and marked rejections as an error, and errors of idempotent work are repeated elsewhere.

Change: a 400 ends the attempt as INVALID. RetryPolicy allows no attempt after it, and the job fails. It proves nothing about whether the job ran, so other classes are treated as before.

Evidence: MalformedWorkerResponseTest.aJobThatAWorkerFindsInvalidFailsWithoutAnotherAttempt, red before (503 after 20 s), green now.

--- a/src/main/java/loomreel/core/ExternalNames.java
+++ b/src/main/java/loomreel/core/ExternalNames.java
@@ -18,6 +18,7 @@
     return switch (outcome) {
       case OK -> "OK";
       case ERROR -> "ERROR";
+      case INVALID -> "INVALID";
       case REJECTED -> "FULL";
       case TIMEOUT -> "TIMEOUT";
       case CONNECT_FAILED -> "CONNECT_FAILED";
--- a/src/main/java/loomreel/decision/AdmissionController.java
+++ b/src/main/java/loomreel/decision/AdmissionController.java
@@ -102,14 +102,15 @@
   /**
    * The answer to a request that is given up. Where a repetition does no harm it is a rejection
    * that gives a time to retry, since an immediate retry would meet the same load; a request that
-   * may have run fails.
+   * may have run fails, and so does an invalid one.
    */
   Action giveUp(PendingRequest request, RejectionReason reason) {
     firstAttempts.recordRejection(reason, context.now());
     boolean harmless =
         request.idempotency == Idempotency.IDEMPOTENT
             || request.attempts().stream().allMatch(AttemptState::neverRan);
-    if (!harmless) {
+    boolean invalid = request.attempts().stream().anyMatch(AttemptState::isInvalid);
+    if (!harmless || invalid) {
       return new Action.Fail(request.id(), reason);
     }
     Settings.Limits limits = context.settings().limits();
--- a/src/main/java/loomreel/decision/AttemptOutcome.java
+++ b/src/main/java/loomreel/decision/AttemptOutcome.java
@@ -6,6 +6,8 @@
   OK(false),
   /** The worker reported an error. */
   ERROR(false),
+  /** The worker found the request invalid, as every other worker would. */
+  INVALID(false),
   /** The worker rejected it before it ran, for lack of capacity. */
   REJECTED(true),
   /** No answer arrived in time. */
--- a/src/main/java/loomreel/decision/AttemptState.java
+++ b/src/main/java/loomreel/decision/AttemptState.java
@@ -10,6 +10,7 @@
   private long startedAt = NOT_STARTED;
   private boolean open = true;
   private boolean neverRan;
+  private boolean invalid;
   private boolean cancelled;
 
   AttemptState(PendingRequest request, WorkerState worker, long sentAt) {
@@ -38,6 +39,11 @@
     return neverRan;
   }
 
+  /** Whether it has ended because the request is invalid. */
+  boolean isInvalid() {
+    return invalid;
+  }
+
   /** The worker reports that the job runs. */
   void start(long now) {
     startedAt = now;
@@ -47,6 +53,7 @@
   void end(AttemptOutcome outcome) {
     open = false;
     neverRan = outcome.neverRan();
+    invalid = outcome == AttemptOutcome.INVALID;
   }
 
   /**
--- a/src/main/java/loomreel/decision/OutcomeRecorder.java
+++ b/src/main/java/loomreel/decision/OutcomeRecorder.java
@@ -41,7 +41,7 @@
     state.loads.recordReport(worker, event.load());
     switch (event.outcome()) {
       case OK -> recordServed(attempt, event.duration());
-      case ERROR, RESET -> worker.recordReachable(context.now());
+      case ERROR, INVALID, RESET -> worker.recordReachable(context.now());
       case REJECTED -> {
         worker.recordReachable(context.now());
         state.loads.recordSample(worker, LOAD_WHEN_FULL);
--- a/src/main/java/loomreel/decision/RetryPolicy.java
+++ b/src/main/java/loomreel/decision/RetryPolicy.java
@@ -35,7 +35,7 @@
   private boolean allowsAnotherBeside(PendingRequest request, AttemptState attempt) {
     boolean mayOverlap = !attempt.isOpen() || limits.hedging();
     boolean mayRepeat = attempt.neverRan() || request.idempotency != Idempotency.NON_IDEMPOTENT;
-    return mayOverlap && mayRepeat;
+    return mayOverlap && mayRepeat && !attempt.isInvalid();
   }
 
   /** Whether the rules allow an attempt of a request at this worker. */
--- a/src/main/java/loomreel/upstream/JobCall.java
+++ b/src/main/java/loomreel/upstream/JobCall.java
@@ -84,16 +84,21 @@
   }
 
   private void endUnaccepted(HttpMessage message) {
-    int status = message.status();
-    boolean isRejected =
-        (status == HttpStatus.SERVICE_UNAVAILABLE || status == HttpStatus.GATEWAY_TIMEOUT)
-            && JobHeader.IS_REJECTED.isSetIn(message);
-    if (!isRejected && status != HttpStatus.INTERNAL_SERVER_ERROR) {
-      subchannel.logUnexpectedStatus(status);
+    AttemptOutcome outcome = outcome(message);
+    if (outcome != AttemptOutcome.REJECTED
+        && message.status() != HttpStatus.INTERNAL_SERVER_ERROR) {
+      subchannel.logUnexpectedStatus(message.status());
     }
-    attempt.end(
-        isRejected ? AttemptOutcome.REJECTED : AttemptOutcome.ERROR,
-        LoadReport.parse(JobHeader.LOAD_REPORT.valueIn(message)).orElse(null));
+    attempt.end(outcome, LoadReport.parse(JobHeader.LOAD_REPORT.valueIn(message)).orElse(null));
+  }
+
+  private static AttemptOutcome outcome(HttpMessage message) {
+    return switch (message.status()) {
+      case HttpStatus.BAD_REQUEST -> AttemptOutcome.INVALID;
+      case HttpStatus.SERVICE_UNAVAILABLE, HttpStatus.GATEWAY_TIMEOUT ->
+          JobHeader.IS_REJECTED.isSetIn(message) ? AttemptOutcome.REJECTED : AttemptOutcome.ERROR;
+      default -> AttemptOutcome.ERROR;
+    };
   }
 
   @Override
--- a/src/test/java/loomreel/program/MalformedWorkerResponseTest.java
+++ b/src/test/java/loomreel/program/MalformedWorkerResponseTest.java
@@ -64,6 +64,20 @@
     }
   }
 
+  /** Every other worker would find the job invalid as well. */
+  @Test
+  void aJobThatAWorkerFindsInvalidFailsWithoutAnotherAttempt() throws Exception {
+    try (StepControlledServer server = new StepControlledServer(2)) {
+      ReceivedJob received = ReceivedJob.submit(server, "/copy");
+
+      received.post.respond(400, "");
+
+      assertEquals(500, received.job.response().status());
+      assertEquals(1, server.stepCount(StepControlledServer.Step.ATTEMPT_STARTED));
+      assertFalse(server.worker(1 - received.worker).hasPendingRequest());
+    }
+  }
+
   @Test
   void aConnectionWhoseResponseBodyNeverArrivesIsClosed() throws Exception {
     try (StepControlledServer server =
