Send an operator's request to the other process also where it changes nothing here

Callers saw: during an upgrade an operator disabled a worker at the old process and enabled it again at the new one right after; both requests were answered 200, and the worker stayed disabled.

Cause: the new process had not yet received the first change, found nothing to change, and dropped the second request.

Change: while another process is linked, a request is applied, stored and sent also where it has no effect; the order on the link then makes it the last one.

Evidence: OperatorOverrideRaceTest.aRequestWithoutEffectAtTheSuccessor..., with the link's messages held between the two requests: red before (hosts_down is 1, expected 0), green now.

--- a/src/main/java/loomreel/process/OperatorControls.java
+++ b/src/main/java/loomreel/process/OperatorControls.java
@@ -78,7 +78,7 @@
   public boolean setWorkerDisabled(String id, boolean disabled) throws IOException {
     boolean isDisabled = overrides.disabledWorkers().contains(id);
     boolean known = dispatcher.isListed(id) || isDisabled;
-    if (known && isDisabled != disabled) {
+    if (known && (isDisabled != disabled || hotRestart.isShared())) {
       change(new OverrideChange.OfWorker(id, disabled));
     }
     return known;
@@ -90,11 +90,15 @@
    * @throws IOException if it could not be stored; nothing has changed then
    */
   public void setClientDrain(boolean draining) throws IOException {
-    if (overrides.clientsDrained() != draining) {
+    if (overrides.clientsDrained() != draining || hotRestart.isShared()) {
       change(new OverrideChange.OfClientDrain(draining));
     }
   }
 
+  /**
+   * Changes an override here and in the other processes. A change without effect here is sent as
+   * well: the opposite one may be under way from another process.
+   */
   private void change(OverrideChange change) throws IOException {
     OperatorOverrides next = change.applyTo(overrides);
     store.save(next);
--- a/src/test/java/loomreel/program/OperatorOverrideRaceTest.java
+++ b/src/test/java/loomreel/program/OperatorOverrideRaceTest.java
@@ -85,6 +85,28 @@
     }
   }
 
+  /** At the successor nothing has to be changed, but a change of the old process is under way. */
+  @Test
+  void aRequestWithoutEffectAtTheSuccessorRevokesTheChangeThatIsUnderWay() throws Exception {
+    try (DispatcherProcess program = DispatcherProcess.supervised(2);
+        HotRestartRelay relay = new HotRestartRelay(portFile(program))) {
+      program.startSuccessor();
+      relay.receive(Sender.OLD);
+      relay.hold(Sender.OLD);
+      program.disableWorker(OLD, "w0");
+      program.enableWorker(NEW, "w0");
+      program.awaitStatistic(OLD, DISABLED_WORKERS, 0);
+
+      relay.release(Sender.OLD);
+
+      relay.receive(Sender.OLD);
+      relay.receive(Sender.OLD);
+      awaitMessagesRead(program, NEW);
+      assertEquals(0, program.statistic(NEW, DISABLED_WORKERS));
+      assertEquals("", stored(program));
+    }
+  }
+
   /** A third process starts while the first still ends its jobs. */
   @Test
   void anOverrideReachesEachOfThreeProcesses() throws Exception {
