--- a/src/test/java/loomreel/program/harness/DispatcherProcess.java
+++ b/src/test/java/loomreel/program/harness/DispatcherProcess.java
@@ -85,6 +85,16 @@
     return supervised(workerCount, ProgramCommand.FAST_START_FLAGS);
   }
 
+  /** The same with a configuration of the test. */
+  public static DispatcherProcess supervised(int workerCount, TestConfiguration configuration)
+      throws IOException {
+    return new DispatcherProcess(
+        workerCount,
+        configuration.copy().managementApi(),
+        Listener.SUPERVISED,
+        ProgramCommand.FAST_START_FLAGS);
+  }
+
   /** The same with the JVM flags of {@code deploy/balancer.toml}. */
   public static DispatcherProcess deployed(int workerCount) throws IOException {
     return supervised(workerCount, ProgramCommand.deployedFlags());
@@ -135,6 +145,14 @@
     assertEquals(200, callManagement(instances.size() - 1, "GET", "readiness", "").status());
   }
 
+  /** Waits until a dispatcher reports itself as ready to operators. */
+  public void awaitReadiness(int instance) throws IOException {
+    long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(HttpIo.TIMEOUT_MILLIS);
+    while (callManagement(instance, "GET", "readiness", "").status() != 200) {
+      assertTrue(System.nanoTime() < deadline, "dispatcher " + instance + " is not ready");
+    }
+  }
+
   /** Kills a dispatcher under the supervisor, and waits for its end. */
   public void killInstance(int instance) throws Exception {
     instances.get(instance).destroyForcibly();
