Keep the ids of ended jobs in the spool until the queue forgets them

Cause: the index of needed records named full records of live jobs only, so compaction removed a segment without live jobs together with the records of ended jids in it. Records of dropped dead jobs carried no end at all, and the end of a dead job that is not retained was ignored without its full record.

Change: the record of an end is needed until the queue forgets the jid, is copied by compaction and released through JobListener.endedJobForgotten. It has jid, state and time; earlier builds read it. Replay restores ends in the order of their time, and does not parse payloads twice. Queue and type names of jobs are shared, since ended jobs are retained with both.

--- a/src/main/java/loomreel/faktory/payload/JobPayloadReader.java
+++ b/src/main/java/loomreel/faktory/payload/JobPayloadReader.java
@@ -70,9 +70,10 @@
    * @throws InvalidPayloadException if these settings have no such queue, or a time is malformed
    */
   public JobSpec read(JsonNode job) throws InvalidPayloadException {
-    String queueName = job.path(PayloadFields.QUEUE).asText(PayloadFields.DEFAULT_QUEUE);
+    // Many jobs have the same queue and type. Ended jobs are retained with both.
+    String queueName = job.path(PayloadFields.QUEUE).asText(PayloadFields.DEFAULT_QUEUE).intern();
     FaktorySettings.Queue queue = queue(queueName);
-    String type = job.path(PayloadFields.JOB_TYPE).asText();
+    String type = job.path(PayloadFields.JOB_TYPE).asText().intern();
     JsonNode custom = job.path(PayloadFields.CUSTOM);
     return new JobSpec(
         job.path(PayloadFields.JID).asText(),
--- a/src/main/java/loomreel/faktory/queue/EndedJobs.java
+++ b/src/main/java/loomreel/faktory/queue/EndedJobs.java
@@ -23,6 +23,7 @@
 
   private final Limits limits;
   private final Consumer<Job> deadJobDropped;
+  private final Consumer<Job> jobForgotten;
 
   /** By jid, in the order in which they ended. */
   private final LinkedHashMap<String, Job> history = new LinkedHashMap<>();
@@ -36,24 +37,33 @@
    * Creates an empty history.
    *
    * @param deadJobDropped called for each dead job whose payload is dropped
+   * @param jobForgotten called for each job whose jid is no longer known
    */
-  EndedJobs(Limits limits, Consumer<Job> deadJobDropped) {
+  EndedJobs(Limits limits, Consumer<Job> deadJobDropped, Consumer<Job> jobForgotten) {
     this.limits = limits;
     this.deadJobDropped = deadJobDropped;
+    this.jobForgotten = jobForgotten;
   }
 
-  /** Adds a job that has just ended; unless it is retained as dead, its payload is dropped. */
-  void add(Job job, long now) {
+  /**
+   * Adds a job that has just ended; unless it is retained as dead, its payload is dropped. {@link
+   * #removeExcess} has to follow.
+   */
+  void add(Job job) {
     if (isRetainedAsDead(job)) {
       dead.put(job.spec.jid(), job);
       deadBytes += job.payloadBytes();
-      while (dead.size() > limits.maxRetained() || deadBytes > limits.maxDeadBytes()) {
-        dropDead(dead.values().iterator().next());
-      }
     } else {
       job.payload = null;
     }
     history.put(job.spec.jid(), job);
+  }
+
+  /** Removes what is beyond the limits: payloads of dead jobs, and jobs from the history. */
+  void removeExcess(long now) {
+    while (dead.size() > limits.maxRetained() || deadBytes > limits.maxDeadBytes()) {
+      dropDead(dead.values().iterator().next());
+    }
     removeOutdated(now);
   }
 
@@ -80,6 +90,9 @@
         return;
       }
       history.remove(oldest.spec.jid());
+      if (!dead.containsKey(oldest.spec.jid())) {
+        jobForgotten.accept(oldest);
+      }
     }
   }
 
@@ -100,6 +113,9 @@
     deadBytes -= job.payloadBytes();
     job.payload = null;
     deadJobDropped.accept(job);
+    if (!history.containsKey(job.spec.jid())) {
+      jobForgotten.accept(job);
+    }
   }
 
   /** Removes a dead job so that it can run again. */
--- a/src/main/java/loomreel/faktory/queue/JobListener.java
+++ b/src/main/java/loomreel/faktory/queue/JobListener.java
@@ -10,6 +10,9 @@
 
         @Override
         public void deadJobDropped(Job job) {}
+
+        @Override
+        public void endedJobForgotten(Job job) {}
       };
 
   /**
@@ -20,6 +23,9 @@
    */
   void stateChanged(Job job, Job.State from);
 
-  /** Called when a dead job is no longer retained. */
+  /** Called when the payload of a dead job is no longer retained; its jid may still be known. */
   void deadJobDropped(Job job);
+
+  /** Called when the jid of an ended job is no longer known, and may be pushed again. */
+  void endedJobForgotten(Job job);
 }
--- a/src/main/java/loomreel/faktory/queue/JobQueue.java
+++ b/src/main/java/loomreel/faktory/queue/JobQueue.java
@@ -206,15 +206,25 @@
     table.transition(job, state, reason, now);
   }
 
-  /** Adds the jid of a job that ended in an earlier process, for the rest of its retention. */
-  public void restoreEnded(String jid, State state, long endedAtMicros, long now) {
+  /**
+   * Adds the jid of a job that ended in an earlier process, for the rest of its retention. Jobs
+   * have to be added in the order in which they ended.
+   *
+   * @param mayHaveRun whether some attempt of the job may have run, where it is dead
+   * @return the job; empty where its retention has passed or its jid is known already
+   */
+  public Optional<Job> restoreEnded(
+      String jid, State state, boolean mayHaveRun, long endedAtMicros, long now) {
     if (!ended.isRetained(endedAtMicros, now) || find(jid) != null) {
-      return;
+      return Optional.empty();
     }
     Job job = new Job(JobSpec.of(jid), null, nextArrivalOrder++);
     job.state = state;
+    job.mayHaveRun = mayHaveRun;
     job.updatedAt = endedAtMicros;
     ended.addRestored(job);
+    ended.removeOutdated(now);
+    return Optional.of(job);
   }
 
   /** How many jobs are in a state now; of the final states, only dead jobs are retained. */
--- a/src/main/java/loomreel/faktory/queue/JobTable.java
+++ b/src/main/java/loomreel/faktory/queue/JobTable.java
@@ -27,7 +27,9 @@
 
   /** Creates an empty table that retains ended jobs within limits. */
   JobTable(EndedJobs.Limits limits) {
-    ended = new EndedJobs(limits, job -> listener.deadJobDropped(job));
+    ended =
+        new EndedJobs(
+            limits, job -> listener.deadJobDropped(job), job -> listener.endedJobForgotten(job));
   }
 
   /** Sets the listener that receives all changes from now on. */
@@ -78,19 +80,22 @@
     job.reason = reason;
     job.updatedAt = now;
     if (to.isFinal()) {
-      finish(job, now);
+      finish(job);
     } else {
       pending.add(job);
     }
     listener.stateChanged(job, from);
+    if (to.isFinal()) {
+      ended.removeExcess(now);
+    }
   }
 
-  private void finish(Job job, long now) {
+  private void finish(Job job) {
     liveJobs.remove(job.spec.jid());
     pending.removeDeadline(job);
     liveBytes -= job.payloadBytes();
     endedCounts.merge(job.state, 1L, Long::sum);
-    ended.add(job, now);
+    ended.add(job);
   }
 
   /**
--- a/src/main/java/loomreel/faktory/storage/DurableJobStore.java
+++ b/src/main/java/loomreel/faktory/storage/DurableJobStore.java
@@ -12,7 +12,8 @@
 
 /**
  * Stores the jobs of a {@link JobQueue} in a {@link WriteAheadLog}: each job in full when it is
- * pushed, then its changes of state, and that an attempt is handed out to a worker.
+ * pushed, then its changes of state, and that an attempt is handed out to a worker. Of a job that
+ * has ended, its jid stays in the log for as long as the queue knows it.
  *
  * <p>Restoring gives the queue as it was, except that a job which was active when the process ended
  * is enqueued again, or is dead where it may have run and must not run twice. Owns the log and
@@ -57,7 +58,7 @@
     this.log = log;
     this.classes = classes;
     this.maxBytes = maxBytes;
-    compactor = new LogCompactor(log, index, this::appendFullJob, segmentBytes);
+    compactor = new LogCompactor(log, index, this::rewrite, segmentBytes, maxBytes);
   }
 
   /**
@@ -70,18 +71,15 @@
       throws IOException {
     JobReplay replay = new JobReplay(codec);
     log.open(replay);
+    replay.inOrderOfEnd().forEach(end -> restoreEnded(queue, end, now));
     List<StoredJob> storedJobs = replay.inArrivalOrder();
     // On all cores, since parsing dominates the duration of a start with a long backlog.
-    storedJobs.parallelStream()
-        .filter(StoredJob::hasPayload)
-        .forEach(stored -> stored.parsePayload(payloads));
+    storedJobs.parallelStream().forEach(stored -> stored.parsePayload(payloads));
     int count = 0;
     for (StoredJob stored : storedJobs) {
-      if (!stored.hasPayload()) {
-        queue.restoreEnded(stored.jid(), stored.state(), stored.updatedAt(), now);
-      } else if (!stored.isUsable()) {
+      if (!stored.isUsable()) {
         unusable.unusableJob(stored.jid(), stored.unusableReason());
-        index.add(stored.toUnusableJob(), stored.segment(), stored.recordBytes());
+        index.addLive(stored.toUnusableJob(), stored.segment(), stored.recordBytes());
       } else {
         restoreJob(queue, stored, now);
         count++;
@@ -91,6 +89,13 @@
     return count;
   }
 
+  private void restoreEnded(JobQueue queue, StoredEnd stored, long now) {
+    JobRecord.Ended end = stored.record();
+    queue
+        .restoreEnded(end.jid(), end.state(), end.mayHaveRun(), end.endedAtMicros(), now)
+        .ifPresent(job -> index.addEnded(job, stored.segment(), stored.recordBytes()));
+  }
+
   private void restoreJob(JobQueue queue, StoredJob stored, long now) {
     StoredJob.Restored restored =
         stored.resolve(classes.isIdempotent(stored.spec().requestClass()));
@@ -98,12 +103,11 @@
     queue.restore(restored.job(), restored.state(), restored.reason(), now);
     isRestoring = false;
     Job job = queue.find(stored.jid());
-    index.add(job, stored.segment(), stored.recordBytes());
-    if (restored.isChanged() || job.payload() == null) {
-      appendStateChange(job);
-    }
+    index.addLive(job, stored.segment(), stored.recordBytes());
     if (job.payload() == null) {
-      index.remove(job);
+      appendEnd(job);
+    } else if (restored.isChanged()) {
+      appendStateChange(job);
     }
   }
 
@@ -175,13 +179,10 @@
     if (job.state() == State.ACTIVE) {
       job.setHandedOut(false);
     }
-    if (!job.hasLogRecord()) {
-      if (job.payload() != null) {
-        appendFullJob(job);
-      }
-    } else if (job.payload() == null) {
-      appendStateChange(job);
-      index.remove(job);
+    if (job.payload() == null) {
+      appendEnd(job);
+    } else if (!job.hasLogRecord()) {
+      appendFullJob(job);
     } else if (!isImplied(job, from)) {
       appendStateChange(job);
     }
@@ -200,8 +201,24 @@
   @Override
   public void deadJobDropped(Job job) {
     if (job.hasLogRecord()) {
-      append(new JobRecord.Dropped(job.spec().jid()));
-      index.remove(job);
+      appendEnd(job);
+    }
+  }
+
+  @Override
+  public void endedJobForgotten(Job job) {
+    index.remove(job);
+  }
+
+  /**
+   * Appends the needed record of a job again, and puts it into the index in the place it has now.
+   */
+  private void rewrite(Job job) {
+    index.remove(job);
+    if (job.payload() == null) {
+      appendEnd(job);
+    } else {
+      appendFullJob(job);
     }
   }
 
@@ -209,7 +226,16 @@
     JobRecord.FullJob record =
         new JobRecord.FullJob(job.spec().jid(), job.snapshot(), job.arrivalOrder(), job.payload());
     byte[] content = codec.encode(record);
-    index.add(job, log.append(content), content.length);
+    index.addLive(job, log.append(content), content.length);
+  }
+
+  /** Records that only the jid of a job is known from now on. */
+  private void appendEnd(Job job) {
+    JobRecord.Ended record =
+        new JobRecord.Ended(job.spec().jid(), job.state(), job.mayHaveRun(), job.updatedAt());
+    byte[] content = codec.encode(record);
+    index.remove(job);
+    index.addEnded(job, log.append(content), content.length);
   }
 
   private void appendStateChange(Job job) {
--- a/src/main/java/loomreel/faktory/storage/JobRecord.java
+++ b/src/main/java/loomreel/faktory/storage/JobRecord.java
@@ -49,6 +49,20 @@
   /** The attempt that is under way is about to be handed out to a worker. */
   record HandedOut(String jid) implements JobRecord {}
 
-  /** A dead job is no longer retained. */
+  /**
+   * A job has ended for good, and only its jid is known from now on. Written when it ends, and
+   * again when its segment is compacted.
+   *
+   * @param state the final state
+   * @param mayHaveRun whether some attempt may have run, where the job is dead
+   * @param endedAtMicros when the job entered that state, in microseconds of Unix time
+   */
+  record Ended(String jid, Job.State state, boolean mayHaveRun, long endedAtMicros)
+      implements JobRecord {}
+
+  /**
+   * A dead job is no longer retained, and nothing is known of its end. Written by earlier versions
+   * only, in the place of {@link Ended}.
+   */
   record Dropped(String jid) implements JobRecord {}
 }
--- a/src/main/java/loomreel/faktory/storage/JobRecordCodec.java
+++ b/src/main/java/loomreel/faktory/storage/JobRecordCodec.java
@@ -35,7 +35,10 @@
   /** Marks a {@link JobRecord.HandedOut}. */
   private static final String OUT = "out";
 
-  /** Marks a {@link JobRecord.Dropped}. */
+  /**
+   * Marks a {@link JobRecord.Dropped}, and a {@link JobRecord.Ended} of a dead job. Earlier
+   * versions take the latter for the former.
+   */
   private static final String DROPPED = "dropped";
 
   private static final int TYPICAL_RECORD_BYTES = 512;
@@ -55,6 +58,9 @@
     if (record instanceof JobRecord.StateChange change) {
       return encode(change.jid(), generator -> writeSnapshot(generator, change.snapshot()));
     }
+    if (record instanceof JobRecord.Ended ended) {
+      return encode(ended.jid(), generator -> writeEnded(generator, ended));
+    }
     if (record instanceof JobRecord.HandedOut) {
       return encode(record.jid(), generator -> generator.writeBooleanField(OUT, true));
     }
@@ -93,6 +99,19 @@
     generator.writeNumberField(AT, snapshot.updatedAt());
   }
 
+  /** Fields that are missing have the defaults of {@link Fields}, in earlier versions as well. */
+  private static void writeEnded(JsonGenerator generator, JobRecord.Ended ended)
+      throws IOException {
+    generator.writeStringField(STATE, ended.state().name());
+    if (ended.mayHaveRun()) {
+      generator.writeBooleanField(MAY_HAVE_RUN, true);
+    }
+    generator.writeNumberField(AT, ended.endedAtMicros());
+    if (ended.state() == State.DEAD) {
+      generator.writeBooleanField(DROPPED, true);
+    }
+  }
+
   /**
    * Decodes a record.
    *
@@ -102,7 +121,8 @@
     Fields fields = new Fields();
     try (JsonParser parser = json.createParser(content)) {
       parser.nextToken();
-      while (parser.nextToken() == JsonToken.FIELD_NAME) {
+      // The payload is the last field. It was validated when it was pushed.
+      while (!fields.hasPayload() && parser.nextToken() == JsonToken.FIELD_NAME) {
         String name = parser.currentName();
         parser.nextToken();
         fields.read(name, parser, content);
@@ -142,17 +162,20 @@
         case PAYLOAD -> {
           int begin = (int) parser.currentTokenLocation().getByteOffset();
           payload = Arrays.copyOfRange(content, begin, content.length - 1);
-          parser.skipChildren();
         }
         default -> parser.skipChildren();
       }
     }
 
+    boolean hasPayload() {
+      return payload != null;
+    }
+
     JobRecord toRecord() throws IOException {
       if (isHandedOut) {
         return new JobRecord.HandedOut(jid);
       }
-      if (isDropped) {
+      if (isDropped && state == null) {
         return new JobRecord.Dropped(jid);
       }
       Job.Snapshot snapshot =
@@ -163,6 +186,9 @@
       if (state == null) {
         throw new IOException("a job record without state: jid=" + jid);
       }
+      if (state.isFinal() && (state != State.DEAD || isDropped)) {
+        return new JobRecord.Ended(jid, state, mayHaveRun, updatedAt);
+      }
       return new JobRecord.StateChange(jid, snapshot);
     }
   }
--- a/src/main/java/loomreel/faktory/storage/RecordIndex.java
+++ b/src/main/java/loomreel/faktory/storage/RecordIndex.java
@@ -1,6 +1,5 @@
 package loomreel.faktory.storage;
 
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalInt;
@@ -8,56 +7,77 @@
 import loomreel.faktory.queue.Job;
 
 /**
- * Which segment of the log holds the full record of which job, for records that are still needed.
- * Owned by {@link DurableJobStore}.
+ * Which segment of the log holds the needed record of which job: the full record, or of a job that
+ * has ended for good the record of its end. Owned by {@link DurableJobStore}.
  */
 final class RecordIndex {
-  private final TreeMap<Integer, LinkedHashSet<Job>> jobsBySegment = new TreeMap<>();
-  private long liveBytes;
+  private final TreeMap<Integer, SegmentRecords> segments = new TreeMap<>();
+  private long neededBytes;
 
   /** Adds a job whose full record stands in a segment. */
-  void add(Job job, int segment, int recordBytes) {
+  void addLive(Job job, int segment, int recordBytes) {
+    recordsOf(segment).addLive(job);
+    recordAdded(job, segment, recordBytes);
+  }
+
+  /** Adds a job the record of whose end stands in a segment. */
+  void addEnded(Job job, int segment, int recordBytes) {
+    recordsOf(segment).addEnded(job);
+    recordAdded(job, segment, recordBytes);
+  }
+
+  private SegmentRecords recordsOf(int segment) {
+    return segments.computeIfAbsent(segment, SegmentRecords::new);
+  }
+
+  private void recordAdded(Job job, int segment, int recordBytes) {
     job.setLogRecord(segment, recordBytes);
-    jobsBySegment.computeIfAbsent(segment, number -> new LinkedHashSet<>()).add(job);
-    liveBytes += recordBytes;
+    neededBytes += recordBytes;
   }
 
-  /** Removes a job whose full record is not needed any more. */
+  /** Removes a job whose record is not needed any more, if there is such a record. */
   void remove(Job job) {
-    LinkedHashSet<Job> jobs = jobsBySegment.get(job.logSegment());
-    if (jobs != null && jobs.remove(job)) {
-      liveBytes -= job.logRecordBytes();
+    if (job.hasLogRecord()) {
+      SegmentRecords records = segments.get(job.logSegment());
+      neededBytes -= job.logRecordBytes();
+      job.clearLogRecord();
+      records.remove(job);
     }
-    job.clearLogRecord();
   }
 
   /** The first jobs whose records stand in a segment, up to a number of them; a copy. */
   List<Job> firstOf(int segment, int limit) {
-    LinkedHashSet<Job> jobs = jobsBySegment.get(segment);
-    return jobs == null ? List.of() : jobs.stream().limit(limit).toList();
+    SegmentRecords records = segments.get(segment);
+    return records == null ? List.of() : records.first(limit);
   }
 
   /** Whether no needed record stands in a segment. */
   boolean isEmpty(int segment) {
-    LinkedHashSet<Job> jobs = jobsBySegment.get(segment);
-    return jobs == null || jobs.isEmpty();
+    SegmentRecords records = segments.get(segment);
+    return records == null || records.isEmpty();
+  }
+
+  /** Whether a needed full record stands in a segment. */
+  boolean hasLiveJobs(int segment) {
+    SegmentRecords records = segments.get(segment);
+    return records != null && records.hasLiveJobs();
   }
 
   /** The oldest segment in which a needed record stands. */
   OptionalInt oldestSegment() {
-    return jobsBySegment.entrySet().stream()
+    return segments.entrySet().stream()
         .filter(entry -> !entry.getValue().isEmpty())
         .mapToInt(Map.Entry::getKey)
         .findFirst();
   }
 
-  /** Removes a segment that is removed from the log. */
+  /** Removes a segment that is removed from the log; no needed record stands there. */
   void removeSegment(int segment) {
-    jobsBySegment.remove(segment);
+    segments.remove(segment);
   }
 
   /** Bytes of all needed records. */
-  long liveBytes() {
-    return liveBytes;
+  long neededBytes() {
+    return neededBytes;
   }
 }
--- a/src/main/java/loomreel/faktory/storage/StoredJob.java
+++ b/src/main/java/loomreel/faktory/storage/StoredJob.java
@@ -10,8 +10,8 @@
 import loomreel.faktory.queue.StateReasons;
 
 /**
- * The state of one job by its records in the log, replayed in order up to some record. Used while
- * {@link DurableJobStore} restores, and not afterwards.
+ * The state of one job whose full record is in the log, by its records up to some record. Used
+ * while {@link DurableJobStore} restores, and not afterwards.
  */
 final class StoredJob {
   private static final String INTERRUPTED_AFTER_HAND_OUT =
@@ -19,7 +19,6 @@
 
   private final String jid;
 
-  /** Null where only the end of the job is known. */
   private final byte[] payload;
 
   private final long arrivalOrder;
@@ -73,11 +72,6 @@
         sameBoot);
   }
 
-  /** A job of which only a record of its end is known. */
-  static StoredJob ended(JobRecord.StateChange record, boolean sameBoot) {
-    return new StoredJob(record, record.snapshot(), null, 0, 0, 0, sameBoot);
-  }
-
   /** This job after a change of state that was read. */
   StoredJob after(JobRecord.StateChange record, boolean changeSameBoot) {
     return new StoredJob(
@@ -144,10 +138,6 @@
     return jid;
   }
 
-  boolean hasPayload() {
-    return payload != null;
-  }
-
   /** Whether the payload can be used; known after {@link #parsePayload}. */
   boolean isUsable() {
     return spec != null;
@@ -163,17 +153,7 @@
     return spec;
   }
 
-  /** The last state that was read. */
-  State state() {
-    return snapshot.state();
-  }
-
-  /** When that state was entered, in microseconds of Unix time. */
-  long updatedAt() {
-    return snapshot.updatedAt();
-  }
-
-  /** Position in the order of arrival; 0 where only the end of the job is known. */
+  /** Position in the order of arrival. */
   long arrivalOrder() {
     return arrivalOrder;
   }
--- a/src/test/java/loomreel/faktory/SpoolTest.java
+++ b/src/test/java/loomreel/faktory/SpoolTest.java
@@ -245,6 +245,31 @@
     }
   }
 
+  /** Guards against accepting the jid of an ended job again after a restart. */
+  @Test
+  void anEndedJidIsNotAcceptedAgainAfterTwoRestarts() throws Exception {
+    try (DaemonProcess daemon = startDaemon();
+        FaktoryClient client = new FaktoryClient(daemon.faktory(), null, null);
+        FaktoryClient worker = new FaktoryClient(daemon.faktory(), null, "w1")) {
+      client.callExpectingOk("PUSH " + job("served-issue", "renewals"));
+      ack(worker, fetch(worker, "renewals"));
+      assertEquals(143, daemon.shutDown());
+    }
+    for (int restart = 1; restart <= 2; restart++) {
+      try (DaemonProcess daemon = startDaemon();
+          FaktoryClient client = new FaktoryClient(daemon.faktory(), null, null);
+          FaktoryClient worker = new FaktoryClient(daemon.faktory(), null, "w2")) {
+        String reply = client.call("PUSH " + job("served-issue", "renewals")).toString();
+        assertTrue(reply.contains("NOTUNIQUE"), "restart " + restart + ": " + reply);
+        client.callExpectingOk("PUSH " + job("other-issue-" + restart, "renewals"));
+        JsonNode other = fetch(worker, "renewals");
+        assertEquals("other-issue-" + restart, clientJid(other));
+        ack(worker, other);
+        assertEquals(143, daemon.shutDown());
+      }
+    }
+  }
+
   @Test
   void aSecondDaemonCannotOpenTheSpool() throws Exception {
     try (DaemonProcess daemon = startDaemon()) {
--- a/src/test/java/loomreel/faktory/storage/JobRecordCodecTest.java
+++ b/src/test/java/loomreel/faktory/storage/JobRecordCodecTest.java
@@ -56,6 +56,33 @@
     assertEquals(handedOut, codec.decode(codec.encode(handedOut)));
   }
 
+  @Test
+  void endsCarryTheFinalStateAndItsTime() throws IOException {
+    JobRecord done = new JobRecord.Ended("j", State.DONE, false, 9);
+
+    assertEquals("{\"jid\":\"j\",\"state\":\"DONE\",\"at\":9}", encoded(done));
+    assertEquals(done, codec.decode(codec.encode(done)));
+  }
+
+  /** Earlier versions read it as the record of a dead job that is no longer retained. */
+  @Test
+  void endsOfDeadJobsAreMarkedAsDropped() throws IOException {
+    JobRecord dead = new JobRecord.Ended("j", State.DEAD, true, 9);
+    String stored =
+        "{\"jid\":\"j\",\"state\":\"DEAD\",\"may_have_run\":true,\"at\":9,\"dropped\":true}";
+
+    assertEquals(stored, encoded(dead));
+    assertEquals(dead, codec.decode(codec.encode(dead)));
+  }
+
+  /** Earlier versions record the end of a job as any other change of its state. */
+  @Test
+  void stateChangesToFinalStatesAreEnds() throws IOException {
+    String stored = "{\"jid\":\"j\"," + SNAPSHOT_JSON.replace("ACTIVE", "EXPIRED") + "}";
+
+    assertEquals(new JobRecord.Ended("j", State.EXPIRED, true, 9), codec.decode(bytes(stored)));
+  }
+
   @Test
   void droppedIsOneFlag() throws IOException {
     JobRecord dropped = new JobRecord.Dropped("j");
--- a/src/test/java/loomreel/faktory/storage/StoredQueue.java
+++ b/src/test/java/loomreel/faktory/storage/StoredQueue.java
@@ -28,6 +28,7 @@
   static final int IDEMPOTENT = 0;
   static final int NOT_IDEMPOTENT = 1;
   private static final int MAX_LOG_BYTES = 1 << 30;
+  private static final int DEFAULT_RETRIES = 25;
 
   static final DurableJobStore.RequestClasses CLASSES =
       new DurableJobStore.RequestClasses() {
@@ -131,8 +132,20 @@
 
   /** Pushes a job to another queue with the same settings. */
   Job pushTo(JobQueue target, String jid, String queueName, long at) throws Exception {
+    return pushTo(target, jid, queueName, at, DEFAULT_RETRIES);
+  }
+
+  private Job pushTo(JobQueue target, String jid, String queueName, long at, int retries)
+      throws Exception {
+    String retryField = retries == DEFAULT_RETRIES ? "" : ",\"retry\":" + retries;
     String text =
-        "{\"jid\":\"" + jid + "\",\"jobtype\":\"T\",\"queue\":\"" + queueName + "\",\"args\":[1]}";
+        "{\"jid\":\""
+            + jid
+            + "\",\"jobtype\":\"T\",\"queue\":\""
+            + queueName
+            + "\",\"args\":[1]"
+            + retryField
+            + "}";
     JobSpec known = payloads.read(Json.read(text));
     JobSpec spec =
         new JobSpec(
@@ -145,7 +158,7 @@
             1,
             Double.NaN,
             5,
-            25,
+            retries,
             at,
             Long.MAX_VALUE);
     assertEquals(Optional.empty(), target.push(spec, text.getBytes(StandardCharsets.UTF_8), now));
@@ -154,7 +167,12 @@
 
   /** Pushes a job that is active at once. */
   Job pushAndStart(String jid, String queueName) throws Exception {
-    push(jid, queueName, 0);
+    return pushAndStart(jid, queueName, DEFAULT_RETRIES);
+  }
+
+  /** Pushes a job that is active at once and may be retried a number of times. */
+  Job pushAndStart(String jid, String queueName, int retries) throws Exception {
+    pushTo(queue, jid, queueName, 0, retries);
     return queue.startNext(queueName, now);
   }
 
