Probe an ejected worker until it responds, also after a probe is reset

What callers saw: an HTTP worker of a settings file that died during a probe got no job any more.

Cause: the outlier ejector waits for the end of a probe, but RESET was reported to it neither as success nor as failure, as for job calls. The probe counted as in flight for ever.

Change: each end of a probe is reported. Failures of calls from before the ejection no longer put off the next probe (OutlierDetectorTest, failed before).

--- a/src/main/java/loomreel/upstream/HttpSubchannel.java
+++ b/src/main/java/loomreel/upstream/HttpSubchannel.java
@@ -144,10 +144,10 @@
   }
 
   /**
-   * Reports a call that has ended without a response to the {@link ReachabilityListener}. After the
-   * outcome {@link AttemptOutcome#CONNECT_FAILED} or {@link AttemptOutcome#TIMEOUT}, the worker
-   * counts as unreachable. A reset does not show that the worker is unreachable, because only a
-   * host that is running sends a reset.
+   * Reports a job call or a health check that has ended without a response to the {@link
+   * ReachabilityListener}. After the outcome {@link AttemptOutcome#CONNECT_FAILED} or {@link
+   * AttemptOutcome#TIMEOUT}, the worker counts as unreachable. A reset does not show that the
+   * worker is unreachable, because only a host that is running sends a reset.
    */
   void reportFailure(AttemptOutcome outcome) {
     if (outcome == AttemptOutcome.CONNECT_FAILED || outcome == AttemptOutcome.TIMEOUT) {
@@ -192,9 +192,9 @@
 
   /**
    * A call that determines whether the worker can be reached. Any response shows that the worker
-   * can be reached.
+   * can be reached. The listener waits for the end of this call, so each outcome is reported.
    */
-  private class ReachabilityCheck extends ShortCall {
+  private final class ReachabilityCheck extends ShortCall {
     @Override
     public void responseReceived(HttpMessage message) {
       reachabilityListener.reachable();
@@ -202,7 +202,7 @@
 
     @Override
     public void failed(AttemptOutcome outcome) {
-      reportFailure(outcome);
+      reachabilityListener.unreachable();
     }
   }
 
@@ -210,12 +210,12 @@
    * A call that requests the load of the worker and reports the load to the dispatcher. The call
    * also reports whether the worker can be reached.
    */
-  private final class HealthCheck extends ReachabilityCheck {
+  private final class HealthCheck extends ShortCall {
     private final long sentAt = dispatcher.loop().now();
 
     @Override
     public void responseReceived(HttpMessage message) {
-      super.responseReceived(message);
+      reachabilityListener.reachable();
       if (message.status() != HttpStatus.OK) {
         dispatcher.healthChecked(endpoint.id(), AttemptOutcome.ERROR, sentAt, null);
         return;
@@ -229,7 +229,7 @@
 
     @Override
     public void failed(AttemptOutcome outcome) {
-      super.failed(outcome);
+      reportFailure(outcome);
       dispatcher.healthChecked(endpoint.id(), outcome, sentAt, null);
     }
   }
--- a/src/main/java/loomreel/upstream/OutlierDetector.java
+++ b/src/main/java/loomreel/upstream/OutlierDetector.java
@@ -18,7 +18,7 @@
   /** The time from the ejection to the first probe, in microseconds. */
   private static final long FIRST_PROBE_DELAY_MICROS = 500_000;
 
-  /** The maximum time from a failure to the next probe, in microseconds. */
+  /** The maximum time from the end of a probe to the next probe, in microseconds. */
   private static final long MAX_PROBE_DELAY_MICROS = 5_000_000;
 
   /** The value of {@link #probeAt} while a probe is in flight, so that no other probe is due. */
@@ -37,7 +37,7 @@
   private int consecutiveFailures;
   private boolean ejected;
 
-  /** The time from the last failure to the next probe, in microseconds. */
+  /** The time from the ejection or from the end of the last probe to the next, in microseconds. */
   private long probeDelayMicros;
 
   /** The time at which the next probe is due, or {@link #PROBE_IN_FLIGHT}. */
@@ -56,7 +56,10 @@
   }
 
   /**
-   * Records that the worker could not be reached or did not respond in time.
+   * Records that the worker could not be reached or did not respond in time, or that a probe has
+   * ended without a response for any reason. While the worker is ejected, ends the probe that is in
+   * flight. If no probe is in flight, the failure is that of a call from before the ejection. Such
+   * a failure does not change when the next probe is due.
    *
    * @param now the current time, in microseconds
    * @return {@link Change#EJECTED} if this failure ejects the worker, otherwise {@link Change#NONE}
@@ -64,7 +67,9 @@
   Change recordFailure(long now) {
     consecutiveFailures++;
     if (ejected) {
-      scheduleProbe(now, Math.min(MAX_PROBE_DELAY_MICROS, 2 * probeDelayMicros));
+      if (probeAt == PROBE_IN_FLIGHT) {
+        scheduleProbe(now, Math.min(MAX_PROBE_DELAY_MICROS, 2 * probeDelayMicros));
+      }
       return Change.NONE;
     }
     if (consecutiveFailures < CONSECUTIVE_FAILURES_TO_EJECT) {
@@ -88,12 +93,8 @@
   /**
    * Returns whether a probe of the ejected worker is due. If a probe is due, records that a probe
    * is in flight. No other probe is due until {@link #recordFailure} has been called. If {@link
-   * #recordSuccess} is called instead, the worker is no longer ejected and needs no probe.
-   *
-   * <p>If a probe ends with the outcome {@link loomreel.decision.AttemptOutcome#RESET}, neither
-   * method is called (see {@link ReachabilityListener}). The probe then still counts as in flight:
-   * the worker stays ejected without further probes until another call to the worker is recorded as
-   * a success or a failure.
+   * #recordSuccess} is called instead, the worker is no longer ejected and needs no probe. The
+   * caller must report the end of each probe, whatever its outcome.
    *
    * @param now the current time, in microseconds
    */
--- a/src/main/java/loomreel/upstream/OutlierEjector.java
+++ b/src/main/java/loomreel/upstream/OutlierEjector.java
@@ -26,10 +26,8 @@
 
   /**
    * Returns whether a probe of the ejected worker is due. If a probe is due, records that a probe
-   * is in flight. No other probe is due until {@link #unreachable} has been called. After a probe
-   * that ends with the outcome {@link loomreel.decision.AttemptOutcome#RESET}, neither {@link
-   * #reachable} nor {@link #unreachable} is called; {@link OutlierDetector#startProbeIfDue}
-   * describes the consequence.
+   * is in flight. No other probe is due until the end of the probe has been reported by {@link
+   * #reachable} or {@link #unreachable}.
    */
   boolean startProbeIfDue() {
     return detector.startProbeIfDue(loop.now());
--- a/src/test/java/loomreel/faktory/DaemonSettings.java
+++ b/src/test/java/loomreel/faktory/DaemonSettings.java
@@ -29,6 +29,14 @@
     return this;
   }
 
+  /** Adds a request class with its latency target and deadline, such as {@code 2s}. */
+  DaemonSettings withClass(String name, String repeat, String target, String deadline) {
+    classes.add(
+        "%s: {repeat: \"%s\", target: \"%s\", deadline: \"%s\"}"
+            .formatted(name, repeat, target, deadline));
+    return this;
+  }
+
   /** Adds a queue whose jobs belong to a class. */
   DaemonSettings withQueue(String name, String className) {
     queues.add("%s: class: \"%s\"".formatted(name, className));
--- a/src/test/java/loomreel/upstream/OutlierDetectorTest.java
+++ b/src/test/java/loomreel/upstream/OutlierDetectorTest.java
@@ -28,6 +28,20 @@
     assertFalse(detector.isEjected());
   }
 
+  /**
+   * Guards against calls that were in flight at the ejection and put off the probes of a worker.
+   */
+  @Test
+  void failuresOfOtherCallsDoNotPostponeTheProbe() {
+    for (int i = 0; i < 3; i++) {
+      detector.recordFailure(0);
+    }
+    for (long now = 0; now < 500 * MICROS_PER_MILLI; now += 100 * MICROS_PER_MILLI) {
+      assertEquals(Change.NONE, detector.recordFailure(now));
+    }
+    assertTrue(detector.startProbeIfDue(500 * MICROS_PER_MILLI));
+  }
+
   @Test
   void probesOfAnEjectedWorkerBackOffAndDoNotOverlap() {
     for (int i = 0; i < 3; i++) {
