Let the record index replace a job's earlier record by itself

Cause: each place that appended a job's needed record again had to take the earlier one out of the index first; the copy of an ended job did so twice, and a restored job without payload was added only to be taken out. Change: RecordIndex.addLive and addEnded replace the earlier record. Behaviour is as before.

--- a/src/main/java/loomreel/faktory/storage/DurableJobStore.java
+++ b/src/main/java/loomreel/faktory/storage/DurableJobStore.java
@@ -103,10 +103,12 @@
     queue.restore(restored.job(), restored.state(), restored.reason(), now);
     isRestoring = false;
     Job job = queue.find(stored.jid());
-    index.addLive(job, stored.segment(), stored.recordBytes());
     if (job.payload() == null) {
       appendEnd(job);
-    } else if (restored.isChanged()) {
+      return;
+    }
+    index.addLive(job, stored.segment(), stored.recordBytes());
+    if (restored.isChanged()) {
       appendStateChange(job);
     }
   }
@@ -210,11 +212,8 @@
     index.remove(job);
   }
 
-  /**
-   * Appends the needed record of a job again, and puts it into the index in the place it has now.
-   */
+  /** Appends the needed record of a job again. */
   private void rewrite(Job job) {
-    index.remove(job);
     if (job.payload() == null) {
       appendEnd(job);
     } else {
@@ -234,7 +233,6 @@
     JobRecord.Ended record =
         new JobRecord.Ended(job.spec().jid(), job.state(), job.mayHaveRun(), job.updatedAt());
     byte[] content = codec.encode(record);
-    index.remove(job);
     index.addEnded(job, log.append(content), content.length);
   }
 
--- a/src/main/java/loomreel/faktory/storage/JobReplay.java
+++ b/src/main/java/loomreel/faktory/storage/JobReplay.java
@@ -50,9 +50,8 @@
     if (before != null) {
       jobs.put(change.jid(), before.after(change, sameBoot));
     } else if (snapshot.state() == Job.State.DEAD) {
-      // Earlier versions record so that a job has died which is not retained. If it is retained,
-      // its
-      // full record was in a segment that has been removed, and a new full record follows.
+      // Earlier versions write this for a dead job that is not retained. Of one that is retained,
+      // the full record was in a segment that has been removed, and a new full record follows.
       JobRecord.Ended end =
           new JobRecord.Ended(
               change.jid(), snapshot.state(), snapshot.mayHaveRun(), snapshot.updatedAt());
--- a/src/main/java/loomreel/faktory/storage/RecordIndex.java
+++ b/src/main/java/loomreel/faktory/storage/RecordIndex.java
@@ -14,25 +14,23 @@
   private final TreeMap<Integer, SegmentRecords> segments = new TreeMap<>();
   private long neededBytes;
 
-  /** Adds a job whose full record stands in a segment. */
+  /** Adds a job whose full record stands in a segment. Its earlier record is needed no more. */
   void addLive(Job job, int segment, int recordBytes) {
-    recordsOf(segment).addLive(job);
-    recordAdded(job, segment, recordBytes);
+    replaceRecord(job, segment, recordBytes).addLive(job);
   }
 
-  /** Adds a job the record of whose end stands in a segment. */
+  /**
+   * Adds a job the record of whose end stands in a segment. Its earlier record is needed no more.
+   */
   void addEnded(Job job, int segment, int recordBytes) {
-    recordsOf(segment).addEnded(job);
-    recordAdded(job, segment, recordBytes);
+    replaceRecord(job, segment, recordBytes).addEnded(job);
   }
 
-  private SegmentRecords recordsOf(int segment) {
-    return segments.computeIfAbsent(segment, SegmentRecords::new);
-  }
-
-  private void recordAdded(Job job, int segment, int recordBytes) {
+  private SegmentRecords replaceRecord(Job job, int segment, int recordBytes) {
+    remove(job);
     job.setLogRecord(segment, recordBytes);
     neededBytes += recordBytes;
+    return segments.computeIfAbsent(segment, SegmentRecords::new);
   }
 
   /** Removes a job whose record is not needed any more, if there is such a record. */
