Count the end of a Faktory job that ran as a failure, also where it is rejected

Cause: the decision module rejects an idempotent request that it gives up, also after attempts that ran, since its client may repeat it. JobAttempt took each rejection as proof that nothing ran: no failure was counted, and the queue's window shrank as for a lack of capacity. Evidence: TRACK has failures 0 and 'refused: no other attempt' beside a FAIL of each worker.

Change: whether something may have run is asked of the call's attempts. A call given up after such an attempt is a failure and uses up a retry; the window shrinks only while a worker still has the job.

--- a/src/main/java/loomreel/core/Rpc.java
+++ b/src/main/java/loomreel/core/Rpc.java
@@ -121,6 +121,11 @@
     return attempts.stream().anyMatch(Rpc::mayHaveRun);
   }
 
+  /** Returns whether an attempt of the call has not ended. */
+  public boolean hasOpenAttempt() {
+    return attempts.stream().anyMatch(attempt -> !attempt.hasEnded());
+  }
+
   private static boolean mayHaveRun(CallAttempt attempt) {
     AttemptOutcome outcome = attempt.outcome();
     return outcome == null || !outcome.neverRan();
--- a/src/main/java/loomreel/faktory/scheduling/AttemptOutcomes.java
+++ b/src/main/java/loomreel/faktory/scheduling/AttemptOutcomes.java
@@ -42,9 +42,30 @@
     log.info("job rejected queue=" + job.spec().queue() + " reason=" + status.reason());
   }
 
+  /**
+   * The dispatcher has given up a job of which some attempt may have run. That is a failure, which
+   * uses up a retry.
+   *
+   * @param awaitsWorker whether a worker that has the job has not reported its end, which is a sign
+   *     of a lack of capacity
+   */
+  void givenUp(Job job, UnavailableStatus status, boolean awaitsWorker) {
+    if (awaitsWorker) {
+      limiter.recordRejected(job.spec().queue(), loop.now());
+    } else {
+      limiter.recordFailed(job.spec().queue());
+    }
+    log.info("job given up queue=" + job.spec().queue() + " reason=" + status.reason());
+    fail(job, true);
+  }
+
   /** The job is retried, or dead where it may have run and must not run twice. */
   void failed(Job job, boolean mayHaveRun) {
     limiter.recordFailed(job.spec().queue());
+    fail(job, mayHaveRun);
+  }
+
+  private void fail(Job job, boolean mayHaveRun) {
     queue.failAttempt(job, mayHaveRun, classes.isIdempotent(job.spec().requestClass()), loop.now());
     if (job.state() == Job.State.DEAD) {
       log.warn(
--- a/src/main/java/loomreel/faktory/scheduling/JobAttempt.java
+++ b/src/main/java/loomreel/faktory/scheduling/JobAttempt.java
@@ -62,7 +62,12 @@
   @Override
   public void rejected(UnavailableStatus status) {
     scheduler.ended(this);
-    outcomes.rejected(job, status);
+    // An idempotent request is also rejected after attempts that ran: its client may repeat it.
+    if (rpc.mayHaveRun()) {
+      outcomes.givenUp(job, status, rpc.hasOpenAttempt());
+    } else {
+      outcomes.rejected(job, status);
+    }
     scheduler.wakeUp();
   }
 
--- a/src/test/java/loomreel/faktory/JobLifecycleTest.java
+++ b/src/test/java/loomreel/faktory/JobLifecycleTest.java
@@ -14,6 +14,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import loomreel.standin.FaktoryClient;
 import loomreel.standin.RespReader;
@@ -26,6 +27,8 @@
 /** A job from its push to its final state, also where its worker or its ACK is lost. */
 @Timeout(120)
 class JobLifecycleTest {
+  private static final int MAX_ATTEMPTS = 4;
+
   @RegisterExtension private static final ProtocolHarness HARNESS = new ProtocolHarness();
 
   @Test
@@ -152,4 +155,47 @@
       awaitState(client, jid, "success");
     }
   }
+
+  /**
+   * Guards against a job of an idempotent class that fails at every worker and is run without end,
+   * since the end of its attempts was taken for a rejection of which nothing ran.
+   */
+  @ParameterizedTest
+  @CsvSource({"-1,1", "0,1", "1,2"})
+  void anIdempotentJobThatAlwaysFailsIsDeadOnceItsRetriesAreUsedUp(int retry, int failures)
+      throws Exception {
+    String jid = newJid();
+    List<FaktoryClient> workers = new ArrayList<>();
+    try (FaktoryClient client = HARNESS.client()) {
+      for (int i = 0; i < MAX_ATTEMPTS; i++) {
+        workers.add(HARNESS.worker("fails-" + retry + "-" + i));
+        assertNull(workers.get(i).call("FETCH copies"));
+      }
+      client.callExpectingOk("PUSH " + jobWith(jid, "copies", ",\"retry\":" + retry));
+      int runs = 0;
+      int maxRuns = MAX_ATTEMPTS * failures;
+      for (int turn = 0; runs <= maxRuns && !isDead(client, jid); turn++) {
+        FaktoryClient worker = workers.get(turn % MAX_ATTEMPTS);
+        if (worker.call("FETCH copies") instanceof String job) {
+          runs++;
+          worker.callExpectingOk(fail(FaktoryClient.JSON.readTree(job)));
+        }
+      }
+      JsonNode state = awaitState(client, jid, "dead");
+      assertEquals(failures, state.path("failures").asInt(), state.toString());
+      assertEquals(maxRuns, runs);
+    } finally {
+      for (FaktoryClient worker : workers) {
+        worker.close();
+      }
+    }
+  }
+
+  private static boolean isDead(FaktoryClient client, String jid) throws Exception {
+    return client.callForJson("TRACK GET " + jid).path("state").asText().equals("dead");
+  }
+
+  private static String fail(JsonNode job) {
+    return "FAIL {\"jid\":\"" + attemptId(job) + "\",\"message\":\"no\"}";
+  }
 }
