Close the connection of a Faktory job whose reservation ends while it is written

Callers saw: a single_shot job ran twice, where its worker read slowly.

Cause: at the end of reserve_for, a job that was partly written ended as 'could not connect', which proves that it did not run, and was sent elsewhere; but its rest stayed in the output and was written once the worker read on.

Change: as at the write deadline, the connection is closed, which discards the rest.

--- a/src/main/java/loomreel/faktory/worker/FaktorySubchannel.java
+++ b/src/main/java/loomreel/faktory/worker/FaktorySubchannel.java
@@ -118,11 +118,18 @@
     if (fetches.withdraw(item)) {
       item.value().end(AttemptOutcome.CONNECT_FAILED, null);
     } else if (item.state() == FetchDispatcher.State.WRITING) {
-      // Part of it is written. Closing the connection discards the rest, so it cannot run.
-      item.connection().close();
+      closePartlyWritten(item);
     }
   }
 
+  /**
+   * Ends an attempt of which a part is written, by closing its connection: that discards the rest,
+   * so it cannot run. Otherwise the rest would be written later, and it would run after all.
+   */
+  private static void closePartlyWritten(FetchDispatcher.Item<CallAttempt, WorkerConnection> item) {
+    item.connection().close();
+  }
+
   private void offerToWaitingFetches() {
     for (WorkerConnection connection : List.copyOf(worker.connections)) {
       if (fetches.waitingCount() > 0) {
@@ -183,9 +190,13 @@
   }
 
   private void reservationPassed(FetchDispatcher.Item<CallAttempt, WorkerConnection> item) {
-    if (fetches.findInProgress(item.id()) == item) {
-      boolean mayHaveRun = item.state() == FetchDispatcher.State.SENT;
-      item.value().end(mayHaveRun ? AttemptOutcome.TIMEOUT : AttemptOutcome.CONNECT_FAILED, null);
+    if (fetches.findInProgress(item.id()) != item) {
+      return;
+    }
+    if (item.state() == FetchDispatcher.State.SENT) {
+      item.value().end(AttemptOutcome.TIMEOUT, null);
+    } else {
+      closePartlyWritten(item);
     }
   }
 
--- a/src/test/java/loomreel/faktory/JobLifecycleTest.java
+++ b/src/test/java/loomreel/faktory/JobLifecycleTest.java
@@ -13,9 +13,11 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import loomreel.standin.FaktoryClient;
 import loomreel.standin.RespReader;
 import org.junit.jupiter.api.Test;
@@ -29,6 +31,9 @@
 class JobLifecycleTest {
   private static final int MAX_ATTEMPTS = 4;
 
+  /** So many jobs of a queue may be at workers at the start. */
+  private static final int JOBS_AT_ONCE = 16;
+
   @RegisterExtension private static final ProtocolHarness HARNESS = new ProtocolHarness();
 
   @Test
@@ -198,4 +203,63 @@
   private static String fail(JsonNode job) {
     return "FAIL {\"jid\":\"" + attemptId(job) + "\",\"message\":\"no\"}";
   }
+
+  /**
+   * Guards against a second run of a job that was partly written when its reservation ended: the
+   * rest was written later all the same.
+   */
+  @Test
+  void aJobIsNotWrittenOnOnceItsReservationHasEnded() throws Exception {
+    String longJid = newJid();
+    String filler = "x".repeat(50_000);
+    List<String> received = new ArrayList<>();
+    try (FaktoryClient client = HARNESS.client();
+        FaktoryClient slow = slowWorker("slow-reader")) {
+      client.callExpectingOk("PUSH " + job(longJid, "copies"));
+      slow.callExpectingOk(ack(fetch(slow, "copies")).replace("done", "y".repeat(200_000)));
+      for (int i = 0; i < JOBS_AT_ONCE; i++) {
+        String fields = ",\"reserve_for\":1,\"custom\":{\"filler\":\"" + filler + "\"}";
+        client.callExpectingOk("PUSH " + jobWith(newJid(), "renewals", fields));
+      }
+      for (int i = 0; i < JOBS_AT_ONCE; i++) {
+        slow.send("TRACK GET " + longJid);
+        slow.send("FETCH renewals");
+      }
+      Thread.sleep(1500);
+      receiveJobs(slow, received);
+    }
+    try (FaktoryClient other = slowWorker("other-reader")) {
+      for (int i = 0; i < JOBS_AT_ONCE; i++) {
+        other.send("FETCH renewals");
+      }
+      receiveJobs(other, received);
+    }
+    assertTrue(received.size() > 1, received.toString());
+    assertEquals(received.size(), Set.copyOf(received).size(), received.toString());
+  }
+
+  private static FaktoryClient slowWorker(String wid) throws IOException {
+    FaktoryClient worker =
+        new FaktoryClient(HARNESS.faktory(), ProtocolHarness.PASSWORD, wid, "slots=50");
+    worker.socket().setReceiveBufferSize(8 * 1024);
+    worker.socket().setSoTimeout(2000);
+    return worker;
+  }
+
+  /** Acknowledges all jobs that arrive until the connection is closed or quiet. */
+  private static void receiveJobs(FaktoryClient worker, List<String> received) {
+    try {
+      while (true) {
+        if (worker.read() instanceof String text && text.startsWith("{")) {
+          JsonNode job = FaktoryClient.JSON.readTree(text);
+          if (job.has("custom")) {
+            received.add(clientJid(job));
+            worker.send(ack(job));
+          }
+        }
+      }
+    } catch (IOException e) {
+      // The connection is closed or quiet.
+    }
+  }
 }
