Do not believe a worker that returns a job after it has reported progress

A worker that reports 'running' and then 'returned' (or 503 with X-Rejected) for a single_shot job had the job sent to another worker.

Change: an outcome that says that the job never ran is a reset if the worker has reported its start or its progress. Measured: the new test of StatusUpdateTest got 503 before and the job was offered again; 500 after.

--- a/src/main/java/loomreel/core/CallAttempt.java
+++ b/src/main/java/loomreel/core/CallAttempt.java
@@ -51,6 +51,12 @@
    */
   private boolean returnedUnstarted;
 
+  /**
+   * Whether the worker has reported that the job has started or has made progress. An outcome which
+   * says that the job never ran then proves nothing.
+   */
+  private boolean startReported;
+
   /**
    * Creates an attempt. Its number is the number of attempts that the call already has.
    *
@@ -144,6 +150,7 @@
    */
   public void progressed() {
     if (!hasEnded()) {
+      startReported = true;
       dispatcher.attemptProgressed(this);
     }
   }
@@ -184,7 +191,8 @@
 
   /**
    * Ends the attempt with an outcome and reports the outcome to the dispatcher. Does nothing if the
-   * attempt has ended.
+   * attempt has ended. If the worker has reported a start of the job before, an outcome which says
+   * that the job never ran becomes {@link AttemptOutcome#RESET}.
    *
    * @param load the load that the worker reported, or null if none was reported
    */
@@ -192,11 +200,11 @@
     if (!transitionTo(CallAttemptState.ENDED)) {
       return;
     }
-    outcome = finalOutcome;
+    outcome = startReported && finalOutcome.neverRan() ? AttemptOutcome.RESET : finalOutcome;
     if (deadlineTimer != null) {
       deadlineTimer.cancel();
     }
-    dispatcher.attemptEnded(this, finalOutcome, load);
+    dispatcher.attemptEnded(this, outcome, load);
   }
 
   /**
--- a/src/test/java/loomreel/program/StatusUpdateTest.java
+++ b/src/test/java/loomreel/program/StatusUpdateTest.java
@@ -76,4 +76,21 @@
       assertFalse(program.worker(0).hasPendingRequest());
     }
   }
+
+  /**
+   * Guards against a second run of a job that its worker returns after it has reported progress.
+   */
+  @Test
+  void aNonIdempotentJobThatIsReturnedAfterProgressFails() throws Exception {
+    try (DispatcherProcess program = new DispatcherProcess(1)) {
+      SubmittedJob job = program.submit("/issue", "");
+      program.worker(0).nextRequest().respond(202, "");
+
+      program.reportStatus(job.id(), "w0", "running", "");
+      program.reportStatus(job.id(), "w0", "returned", "");
+
+      assertEquals(500, job.response().status());
+      assertFalse(program.worker(0).hasPendingRequest());
+    }
+  }
 }
