Restore a job that may have run as dead where its class must not run twice now

Cause: StoredJob looked at may_have_run of active jobs only. Change: of all jobs that have not ended. Measured: the new test of DurableJobStoreTest was red before (RETRY instead of DEAD), green after.

--- a/src/main/java/loomreel/faktory/storage/StoredJob.java
+++ b/src/main/java/loomreel/faktory/storage/StoredJob.java
@@ -93,13 +93,17 @@
   }
 
   /**
-   * The job as it is to be restored: one that was active when the process ended is enqueued again,
-   * or is dead where it may have run and must not run twice.
+   * The job as it is to be restored: one that was active when the process ended is enqueued again.
+   * One that may have run and must not run twice is dead, also where it was pushed under settings
+   * that allowed its repetition.
    *
    * @param isIdempotent whether it may run again although it may have run
    */
   Restored resolve(boolean isIdempotent) {
     if (snapshot.state() != State.ACTIVE) {
+      if (snapshot.mayHaveRun() && !isIdempotent && !snapshot.state().isFinal()) {
+        return new Restored(toJob(true), State.DEAD, StateReasons.MAY_HAVE_RUN, true);
+      }
       return new Restored(toJob(snapshot.mayHaveRun()), snapshot.state(), snapshot.reason(), false);
     }
     boolean mayHaveRun = snapshot.mayHaveRun() || mayHaveBeenHandedOut();
--- a/src/test/java/loomreel/faktory/storage/DurableJobStoreTest.java
+++ b/src/test/java/loomreel/faktory/storage/DurableJobStoreTest.java
@@ -176,4 +176,17 @@
     assertEquals(Optional.of("the spool is full: 300 bytes"), small.rejectionReason());
     small.close();
   }
+
+  /** Guards against a second run of a job whose class must not run twice any more. */
+  @Test
+  void aJobThatMayHaveRunIsDeadWhereItsClassMustNotRunTwiceNow() throws Exception {
+    Job ran = stored.pushAndStart("ran", "free");
+    stored.queue().failAttempt(ran, true, true, stored.now);
+    stored.push("waits", "free", 0);
+    stored.payloads = StoredQueue.payloads(Map.of("free", "issue", "single", "issue"));
+    stored.killAndOpen();
+    assertEquals(State.DEAD, stored.queue().find("ran").state());
+    assertEquals("may have run", stored.queue().find("ran").reason());
+    assertEquals(State.ENQUEUED, stored.queue().find("waits").state());
+  }
 }
--- a/src/test/java/loomreel/faktory/storage/StoredQueue.java
+++ b/src/test/java/loomreel/faktory/storage/StoredQueue.java
@@ -42,7 +42,9 @@
           return requestClass != IDEMPOTENT;
         }
       };
-  final JobPayloadReader payloads = payloads(Map.of("free", "copy", "single", "issue"));
+
+  /** The settings under which payloads are read at the next push or start. */
+  JobPayloadReader payloads = payloads(Map.of("free", "copy", "single", "issue"));
 
   /** The tasks that the log passes to the event loop. */
   final BlockingQueue<Runnable> loop = new LinkedBlockingQueue<>();
