Bound what Faktory holds on the heap by the size of the heap

Cause: what is held was bounded by settings or by a number of things, not by the heap. A start needed a whole segment, all ends and all payloads at once.

Change: fractions of the heap bound live jobs (PUSH is rejected beyond it), ended jobs (oldest results, then oldest jids), recent attempts and commands. A segment is read through a window; a PUSHB holds its text and one job; batches that wait stay in pooled buffers; a spool too large for the heap is named at the start.

--- a/src/main/java/loomreel/faktory/CommandDispatcher.java
+++ b/src/main/java/loomreel/faktory/CommandDispatcher.java
@@ -1,5 +1,6 @@
 package loomreel.faktory;
 
+import loomreel.faktory.protocol.CommandLine;
 import loomreel.faktory.protocol.Handshake;
 import loomreel.faktory.protocol.Json;
 import loomreel.faktory.protocol.Reply;
@@ -9,7 +10,10 @@
 
 /** Reads a command line of a connection and passes it to the handler of its family. */
 final class CommandDispatcher {
+  private static final String BATCH_VERB = "PUSHB";
+
   private final FaktorySettings settings;
+  private final CommandLimits limits;
   private final FaktoryWorkerPool workers;
   private final ProducerCommands producers;
   private final ConsumerCommands consumers;
@@ -20,6 +24,7 @@
 
   CommandDispatcher(
       FaktorySettings settings,
+      CommandLimits limits,
       FaktoryWorkerPool workers,
       ProducerCommands producers,
       ConsumerCommands consumers,
@@ -28,6 +33,7 @@
       IngressReport report,
       RateLimitedLogger log) {
     this.settings = settings;
+    this.limits = limits;
     this.workers = workers;
     this.producers = producers;
     this.consumers = consumers;
@@ -38,8 +44,23 @@
   }
 
   /** Carries out a command; its reply follows at once or later, before the next command's. */
-  void dispatch(FaktoryConnection connection, String line) {
+  void dispatch(FaktoryConnection connection, CommandLine command) {
     report.commandReceived();
+    if (connection.state() != FaktoryConnectionState.AWAITING_HELLO) {
+      if (command.hasVerb(BATCH_VERB)) {
+        producers.pushBatch(connection, command);
+        return;
+      }
+      if (command.length() > limits.maxSingleBytes()) {
+        command.release();
+        connection.reply(Reply.error("a command of over " + limits.maxSingleBytes() + " bytes"));
+        return;
+      }
+    }
+    dispatch(connection, command.takeText());
+  }
+
+  private void dispatch(FaktoryConnection connection, String line) {
     int space = line.indexOf(' ');
     String verb = space < 0 ? line : line.substring(0, space);
     String arguments = space < 0 ? "" : line.substring(space + 1).strip();
@@ -57,8 +78,8 @@
   private void dispatch(FaktoryConnection connection, String verb, String arguments)
       throws Json.MalformedException {
     switch (verb) {
-      case "PUSH" -> producers.push(connection, Json.read(arguments));
-      case "PUSHB" -> producers.pushBatch(connection, arguments);
+      case "PUSH" -> producers.push(connection, arguments);
+      case BATCH_VERB -> connection.reply(PushBatch.NOT_AN_ARRAY);
       case "FETCH" -> consumers.fetch(connection, arguments);
       case "ACK" -> connection.reply(consumers.acknowledge(connection, Json.read(arguments)));
       case "FAIL" -> connection.reply(consumers.fail(connection, Json.read(arguments)));
@@ -75,9 +96,7 @@
   private void authenticate(FaktoryConnection connection, String verb, String arguments) {
     try {
       Handshake handshake = checkedHandshake(connection, verb, arguments);
-      int maxCommandBytes =
-          (int) Math.min(Integer.MAX_VALUE / 2, settings.maxCommandSize().bytes());
-      connection.authenticated(maxCommandBytes);
+      connection.authenticated(limits.maxLineBytes());
       if (handshake.isWorker()) {
         connection.joinedAs(workers.connect(handshake, connection));
       }
--- a/src/main/java/loomreel/faktory/FaktoryConnection.java
+++ b/src/main/java/loomreel/faktory/FaktoryConnection.java
@@ -5,6 +5,7 @@
 import java.nio.channels.SocketChannel;
 import java.util.List;
 import java.util.Optional;
+import loomreel.faktory.protocol.CommandLine;
 import loomreel.faktory.protocol.Handshake;
 import loomreel.faktory.protocol.LineReader;
 import loomreel.faktory.protocol.PasswordChallenges;
@@ -64,6 +65,9 @@
   /** Started while replies wait to be read by the client. */
   private final Timeout unreadReplyTimeout;
 
+  /** A command that waits for its turn, which this connection releases if it closes before. */
+  private CommandLine heldCommand;
+
   private FaktoryConnectionState state = FaktoryConnectionState.AWAITING_HELLO;
 
   /** Null for a client that only pushes, and after the close. */
@@ -137,7 +141,7 @@
         pauseReading(pipelined.isFull() || out.length() > MAX_UNREAD_REPLY_BYTES);
         return;
       }
-      Optional<String> line;
+      Optional<CommandLine> line;
       try {
         line = lines.next(in);
       } catch (LineReader.BadLineException e) {
@@ -174,6 +178,15 @@
     }
   }
 
+  /**
+   * Takes over the ownership of a command that waits for its turn.
+   *
+   * @param command null once it is taken
+   */
+  void hold(CommandLine command) {
+    heldCommand = command;
+  }
+
   /** A command is under way whose reply follows with {@link #completeCommand}. */
   void beginCommand(FaktoryConnectionState busy) {
     state = state.become(busy);
@@ -317,6 +330,9 @@
 
   private void releaseResources() {
     lines.release();
+    if (heldCommand != null) {
+      heldCommand.release();
+    }
     pipelined.release();
     inputTimeout.stop();
     unreadReplyTimeout.stop();
--- a/src/main/java/loomreel/faktory/FaktoryIngress.java
+++ b/src/main/java/loomreel/faktory/FaktoryIngress.java
@@ -13,6 +13,7 @@
 import loomreel.faktory.payload.WorkerPayloads;
 import loomreel.faktory.protocol.PasswordChallenges;
 import loomreel.faktory.queue.ConcurrencyLimiter;
+import loomreel.faktory.queue.HeapLimits;
 import loomreel.faktory.queue.JobQueue;
 import loomreel.faktory.queue.QueueLimits;
 import loomreel.faktory.queue.QueueWeights;
@@ -66,7 +67,8 @@
     queue = new JobQueue(queueLimits(settings), random);
     QueueWeights weights = queueWeights(settings);
     limiter = new ConcurrencyLimiter(weights);
-    RecentAttempts recentAttempts = new RecentAttempts(loop, queue, log);
+    RecentAttempts recentAttempts =
+        new RecentAttempts(loop, queue, log, Runtime.getRuntime().maxMemory());
     workers =
         new FaktoryWorkerPool(
             dispatcher,
@@ -111,7 +113,8 @@
         settings.backlog().maxSize().bytes(),
         settings.initialBackoff().micros(),
         settings.endedJobRetention().micros(),
-        settings.maxRetainedJobs());
+        settings.maxRetainedJobs(),
+        HeapLimits.of(Runtime.getRuntime().maxMemory()));
   }
 
   private static QueueWeights queueWeights(FaktorySettings settings) {
@@ -133,10 +136,13 @@
       JobClasses classes, JobPayloadReader payloads, RecentAttempts attempts) {
     AttemptReports reports = new AttemptReports(workers, attempts::recordEvidence);
     JobIntake intake = new JobIntake(loop, queue, persistence, payloads, scheduler, log);
+    CommandLimits limits =
+        CommandLimits.of(Runtime.getRuntime().maxMemory(), settings.maxCommandSize().bytes());
     return new CommandDispatcher(
         settings,
+        limits,
         workers,
-        new ProducerCommands(loop, intake),
+        new ProducerCommands(loop, intake, limits),
         new ConsumerCommands(workers, reports, settings.workers(), scheduler, persistence),
         new TrackCommands(attempts, reports),
         new AdminCommands(
--- a/src/main/java/loomreel/faktory/JobIntake.java
+++ b/src/main/java/loomreel/faktory/JobIntake.java
@@ -16,6 +16,10 @@
 
 /** Checks jobs that clients push, and queues them. */
 final class JobIntake {
+  /** The error for a job that workers could not receive. */
+  static final Reply.ErrorReply JOB_TOO_LONG =
+      Reply.error("a job of over " + JobPayloadReader.MAX_PAYLOAD_BYTES + " bytes");
+
   private final EventLoop loop;
   private final JobQueue queue;
   private final JobPersistence persistence;
@@ -52,7 +56,7 @@
       JobSpec spec = payloads.validate(job);
       byte[] payload = Json.toBytes(job);
       if (payload.length > JobPayloadReader.MAX_PAYLOAD_BYTES) {
-        return rejected("a job of over " + JobPayloadReader.MAX_PAYLOAD_BYTES + " bytes");
+        return new PushResult.Rejected(JOB_TOO_LONG, false);
       }
       return enqueue(spec, payload);
     } catch (InvalidPayloadException e) {
--- a/src/main/java/loomreel/faktory/ProducerCommands.java
+++ b/src/main/java/loomreel/faktory/ProducerCommands.java
@@ -1,6 +1,7 @@
 package loomreel.faktory;
 
-import com.fasterxml.jackson.databind.JsonNode;
+import loomreel.faktory.protocol.CommandLine;
+import loomreel.faktory.protocol.Json;
 import loomreel.faktory.protocol.Reply;
 import loomreel.io.EventLoop;
 
@@ -8,16 +9,27 @@
 final class ProducerCommands {
   private final EventLoop loop;
   private final JobIntake intake;
-  private final BatchLimiter batches = new BatchLimiter();
+  private final CommandLimits limits;
+  private final BatchLimiter batches;
 
-  ProducerCommands(EventLoop loop, JobIntake intake) {
+  ProducerCommands(EventLoop loop, JobIntake intake, CommandLimits limits) {
     this.loop = loop;
     this.intake = intake;
+    this.limits = limits;
+    batches = new BatchLimiter(limits.maxBatchBytes());
   }
 
-  /** PUSH: acknowledged once the job is durable. */
-  void push(FaktoryConnection connection, JsonNode job) {
-    PushResult result = intake.push(job);
+  /**
+   * PUSH: acknowledged once the job is durable.
+   *
+   * @throws Json.MalformedException if the job is not JSON
+   */
+  void push(FaktoryConnection connection, String job) throws Json.MalformedException {
+    if (job.length() > CommandLimits.MAX_JOB_TEXT_BYTES) {
+      connection.reply(JobIntake.JOB_TOO_LONG);
+      return;
+    }
+    PushResult result = intake.push(Json.read(job));
     if (result instanceof PushResult.Rejected rejected) {
       connection.reply(rejected.error());
       return;
@@ -26,21 +38,32 @@
     intake.whenDurable(result.isSynced(), () -> connection.completeCommand(Reply.OK));
   }
 
-  /** PUSHB: the reply names the jobs that were rejected. */
-  void pushBatch(FaktoryConnection connection, String text) {
+  /**
+   * PUSHB: the reply names the jobs that were rejected. Until it is its turn, the command stays in
+   * the connection's buffers.
+   */
+  void pushBatch(FaktoryConnection connection, CommandLine command) {
+    int bytes = command.length();
     connection.beginCommand(FaktoryConnectionState.IN_BATCH);
-    batches.submit(
-        () -> {
-          if (connection.isClosed()) {
-            batches.finished();
-            return;
-          }
-          new PushBatch(loop, intake, reply -> batchDone(connection, reply)).start(text);
-        });
+    connection.hold(command);
+    batches.submit(bytes, () -> startBatch(connection, command, bytes));
   }
 
-  private void batchDone(FaktoryConnection connection, Reply reply) {
-    batches.finished();
-    connection.completeCommand(reply);
+  private void startBatch(FaktoryConnection connection, CommandLine command, int bytes) {
+    if (connection.isClosed()) {
+      batches.finished(bytes);
+      return;
+    }
+    connection.hold(null);
+    PushBatch batch =
+        new PushBatch(
+            loop,
+            intake,
+            limits.maxBatchJobs(),
+            reply -> {
+              batches.finished(bytes);
+              connection.completeCommand(reply);
+            });
+    batch.start(command.takeBytes());
   }
 }
--- a/src/main/java/loomreel/faktory/PushErrors.java
+++ b/src/main/java/loomreel/faktory/PushErrors.java
@@ -21,6 +21,11 @@
       case JID_ENDED -> new Reply.ErrorReply(NOT_UNIQUE + "jid has ended lately");
       case TOO_MANY_JOBS -> Reply.error("backlog is full: " + limits.maxJobs() + " jobs");
       case TOO_MANY_BYTES -> Reply.error("backlog is full: " + limits.maxBytes() + " bytes");
+      case NO_MEMORY ->
+          Reply.error(
+              "backlog is full: waiting jobs take "
+                  + limits.heap().maxLiveBytes()
+                  + " bytes of the heap");
       case DEADLINE_PASSED -> Reply.error("its own deadline has passed");
     };
   }
--- a/src/main/java/loomreel/faktory/TrackCommands.java
+++ b/src/main/java/loomreel/faktory/TrackCommands.java
@@ -48,9 +48,10 @@
     if (job.isEmpty()) {
       return ConsumerCommands.jobNotFound(id);
     }
-    job.get()
-        .setProgress(
-            progress.path("percent").asText(""), Reply.truncate(progress.path("desc").asText("")));
+    jobs.recordProgress(
+        job.get(),
+        Reply.truncate(progress.path("percent").asText("")),
+        Reply.truncate(progress.path("desc").asText("")));
     return Reply.OK;
   }
 
--- a/src/main/java/loomreel/faktory/protocol/LineReader.java
+++ b/src/main/java/loomreel/faktory/protocol/LineReader.java
@@ -1,7 +1,6 @@
 package loomreel.faktory.protocol;
 
 import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import loomreel.io.BufferPool;
 import loomreel.io.ByteQueue;
@@ -18,7 +17,7 @@
   }
 
   private final BufferPool bufferPool;
-  private final ByteQueue line;
+  private ByteQueue line;
   private int maxLineBytes;
 
   /**
@@ -49,7 +48,7 @@
    * @throws BadLineException for RESP's own framing, which servers use and clients do not, and for
    *     a line that is too long
    */
-  public Optional<String> next(ByteBuffer in) throws BadLineException {
+  public Optional<CommandLine> next(ByteBuffer in) throws BadLineException {
     rejectRespFraming(in);
     int end = in.position();
     while (end < in.limit() && in.get(end) != '\n') {
@@ -84,11 +83,10 @@
     }
   }
 
-  private String takeLine() {
-    byte[] all = line.toArray();
-    line.release();
-    int length = all.length > 0 && all[all.length - 1] == '\r' ? all.length - 1 : all.length;
-    return new String(all, 0, length, StandardCharsets.UTF_8);
+  private CommandLine takeLine() {
+    CommandLine complete = new CommandLine(line);
+    line = new ByteQueue(bufferPool);
+    return complete;
   }
 
   /** Gives the buffers back; the reader is not used after this. */
--- a/src/main/java/loomreel/faktory/queue/EndedJobs.java
+++ b/src/main/java/loomreel/faktory/queue/EndedJobs.java
@@ -1,5 +1,6 @@
 package loomreel.faktory.queue;
 
+import java.util.ArrayDeque;
 import java.util.Collection;
 import java.util.Collections;
 import java.util.LinkedHashMap;
@@ -18,8 +19,21 @@
    * @param retentionMicros how long an ended job is known
    * @param maxRetained how many ended jobs are known, and how many dead ones are retained
    * @param maxDeadBytes payload bytes of the dead jobs
+   * @param maxHeapBytes the heap that all of them occupy; dead jobs may use half of it
    */
-  record Limits(long retentionMicros, int maxRetained, long maxDeadBytes) {}
+  record Limits(long retentionMicros, int maxRetained, long maxDeadBytes, long maxHeapBytes) {
+    /** How many ended jobs can be known at most. */
+    int maxKnown() {
+      return (int) Math.min(maxRetained, maxHeapBytes / Job.ENDED_BYTES);
+    }
+
+    /** Whether so many dead jobs with payloads of so many bytes in all may be retained. */
+    boolean admitDead(int jobs, long payloadBytes) {
+      return jobs <= maxRetained
+          && payloadBytes <= maxDeadBytes
+          && payloadBytes + (long) jobs * Job.LIVE_BYTES <= maxHeapBytes / 2;
+    }
+  }
 
   private final Limits limits;
   private final Consumer<Job> deadJobDropped;
@@ -31,6 +45,10 @@
   /** Jobs that are retained with their payload, by jid, in the order in which they ended. */
   private final LinkedHashMap<String, Job> dead = new LinkedHashMap<>();
 
+  /** Jobs of {@link #history} whose result is retained, in the order in which they ended. */
+  private final ArrayDeque<Job> withResult = new ArrayDeque<>();
+
+  private final HeapUse heap = new HeapUse();
   private long deadBytes;
 
   /**
@@ -56,17 +74,40 @@
     } else {
       job.payload = null;
     }
+    if (job.result != null && job.result.length > 0) {
+      withResult.add(job);
+    }
     history.put(job.spec.jid(), job);
+    heap.add(job);
   }
 
-  /** Removes what is beyond the limits: payloads of dead jobs, and jobs from the history. */
+  /**
+   * Removes what is beyond the limits: payloads of dead jobs, results, and jobs from the history.
+   */
   void removeExcess(long now) {
-    while (dead.size() > limits.maxRetained() || deadBytes > limits.maxDeadBytes()) {
+    while (!limits.admitDead(dead.size(), deadBytes)) {
       dropDead(dead.values().iterator().next());
     }
+    while (isHeapExceeded() && !withResult.isEmpty()) {
+      Job oldest = withResult.poll();
+      oldest.result = null;
+      oldest.reason = StateReasons.RESULT_NOT_RETAINED;
+      heap.update(oldest);
+    }
     removeOutdated(now);
   }
 
+  private boolean isHeapExceeded() {
+    return heap.bytes() > limits.maxHeapBytes();
+  }
+
+  /** Counts the heap of a job again whose texts have changed, if it is known. */
+  void textsChanged(Job job) {
+    if (find(job.spec.jid()) == job) {
+      heap.update(job);
+    }
+  }
+
   /** As in Faktory, a job without retries is not retained, unless it may have run. */
   private static boolean isRetainedAsDead(Job job) {
     return job.state == State.DEAD && (job.spec.retry() != 0 || job.mayHaveRun);
@@ -75,6 +116,7 @@
   /** Adds a job that ended in an earlier process. */
   void addRestored(Job job) {
     history.put(job.spec.jid(), job);
+    heap.add(job);
   }
 
   /** Whether a job that ended at a time is still within the retention. */
@@ -86,16 +128,27 @@
   void removeOutdated(long now) {
     while (!history.isEmpty()) {
       Job oldest = history.values().iterator().next();
-      if (history.size() <= limits.maxRetained() && isRetained(oldest.updatedAt, now)) {
+      boolean isWithinLimits = history.size() <= limits.maxRetained() && !isHeapExceeded();
+      if (isWithinLimits && isRetained(oldest.updatedAt, now)) {
         return;
       }
       history.remove(oldest.spec.jid());
       if (!dead.containsKey(oldest.spec.jid())) {
-        jobForgotten.accept(oldest);
+        forget(oldest);
       }
     }
   }
 
+  private void forget(Job job) {
+    heap.remove(job);
+    if (withResult.peek() == job) {
+      withResult.poll();
+    }
+    // Whoever still refers to the job does not hold its result.
+    job.result = null;
+    jobForgotten.accept(job);
+  }
+
   /** Drops a dead job if it is retained; its jid stays known for a while. */
   void discard(Job job) {
     if (dead.containsKey(job.spec.jid())) {
@@ -113,8 +166,10 @@
     deadBytes -= job.payloadBytes();
     job.payload = null;
     deadJobDropped.accept(job);
-    if (!history.containsKey(job.spec.jid())) {
-      jobForgotten.accept(job);
+    if (history.containsKey(job.spec.jid())) {
+      heap.update(job);
+    } else {
+      forget(job);
     }
   }
 
@@ -123,6 +178,7 @@
     dead.remove(job.spec.jid());
     deadBytes -= job.payloadBytes();
     history.remove(job.spec.jid());
+    heap.remove(job);
   }
 
   /** The ended job with a jid, or null. */
--- a/src/main/java/loomreel/faktory/queue/Job.java
+++ b/src/main/java/loomreel/faktory/queue/Job.java
@@ -89,6 +89,12 @@
   /** A job that is not in the log. */
   private static final int NO_SEGMENT = -1;
 
+  /** Estimate of the heap for a job that has not ended and its index entries, without its texts. */
+  static final int LIVE_BYTES = 512;
+
+  /** The same for a job that has ended. */
+  static final int ENDED_BYTES = 320;
+
   public final JobSpec spec;
 
   /** Null once the job has ended and is not retained as dead. */
@@ -105,7 +111,7 @@
   String evidence = "";
   boolean mayHaveRun;
 
-  /** Null until a worker has served the job. */
+  /** Null until a worker has served the job, and again once it is not retained. */
   byte[] result;
 
   long updatedAt;
@@ -113,6 +119,9 @@
   /** How often it has been rejected since its last failure. */
   int rejections;
 
+  /** The part of a {@link HeapUse} that this job is; 0 while it is in none. */
+  long countedHeapBytes;
+
   private String percent = "";
   private String description = "";
   private int logSegment = NO_SEGMENT;
@@ -178,6 +187,15 @@
     return payload == null ? 0 : payload.length;
   }
 
+  /** Estimate of the heap that the job occupies, with its entries in the indexes of the queue. */
+  long heapBytes() {
+    int texts = evidence.length() + reason.length() + percent.length() + description.length();
+    int keyBytes = spec.key() == null ? 0 : spec.key().length();
+    int resultBytes = result == null ? 0 : result.length;
+    int base = state != null && state.isFinal() ? ENDED_BYTES : LIVE_BYTES;
+    return (long) base + texts + keyBytes + resultBytes + payloadBytes();
+  }
+
   /** Position in the order of arrival, which decides where all else is equal. */
   public long arrivalOrder() {
     return arrivalOrder;
@@ -213,7 +231,7 @@
     return mayHaveRun;
   }
 
-  /** The result of the worker that served it; null before that. */
+  /** The result of the worker that served it; null before that, and where it is not retained. */
   public byte[] result() {
     return result;
   }
@@ -224,7 +242,7 @@
   }
 
   /** Records the progress that a worker or client has reported. */
-  public void setProgress(String newPercent, String newDescription) {
+  void setProgress(String newPercent, String newDescription) {
     percent = newPercent;
     description = newDescription;
   }
--- a/src/main/java/loomreel/faktory/queue/JobAdministration.java
+++ b/src/main/java/loomreel/faktory/queue/JobAdministration.java
@@ -94,6 +94,7 @@
         && dead.payload != null
         && limits.admitJob(table.liveCount())
         && limits.admitPayload(table.liveBytes(), dead.payloadBytes())
+        && limits.admitHeap(table.liveHeapBytes(), dead.payloadBytes())
         && dead.spec.deadline() > now;
   }
 
--- a/src/main/java/loomreel/faktory/queue/JobQueue.java
+++ b/src/main/java/loomreel/faktory/queue/JobQueue.java
@@ -94,6 +94,9 @@
     if (!limits.admitPayload(table.liveBytes(), payload.length)) {
       return Optional.of(PushRejection.TOO_MANY_BYTES);
     }
+    if (!limits.admitHeap(table.liveHeapBytes(), payload.length)) {
+      return Optional.of(PushRejection.NO_MEMORY);
+    }
     return spec.deadline() <= now ? Optional.of(PushRejection.DEADLINE_PASSED) : Optional.empty();
   }
 
@@ -139,10 +142,12 @@
     return job;
   }
 
-  /** Ends an active job whose attempt was served. */
+  /** Ends an active job whose attempt was served. A result that is too long is not retained. */
   public void completeAttempt(Job job, byte[] result, long now) {
-    job.result = result;
-    table.transition(job, State.DONE, StateReasons.NONE, now);
+    boolean isRetained = result.length <= limits.heap().maxResultBytes();
+    job.result = isRetained ? result : null;
+    String reason = isRetained ? StateReasons.NONE : StateReasons.RESULT_NOT_RETAINED;
+    table.transition(job, State.DONE, reason, now);
   }
 
   /**
@@ -186,9 +191,16 @@
   public void addEvidence(Job job, String what) {
     if (job.evidence.length() < MAX_EVIDENCE_CHARS) {
       job.evidence += (job.evidence.isEmpty() ? "" : "; ") + what;
+      table.textsChanged(job);
     }
   }
 
+  /** Records the progress of a job that a worker or client has reported. */
+  public void setProgress(Job job, String percent, String description) {
+    job.setProgress(percent, description);
+    table.textsChanged(job);
+  }
+
   /**
    * Adds a job that an earlier process has stored. Nothing happens where its jid is known already.
    *
--- a/src/main/java/loomreel/faktory/queue/JobTable.java
+++ b/src/main/java/loomreel/faktory/queue/JobTable.java
@@ -23,6 +23,7 @@
   private final Map<State, Long> endedCounts = new EnumMap<>(State.class);
 
   private long liveBytes;
+  private final HeapUse liveHeap = new HeapUse();
   private JobListener listener = JobListener.NONE;
 
   /** Creates an empty table that retains ended jobs within limits. */
@@ -62,6 +63,16 @@
   void addLive(Job job) {
     liveJobs.put(job.spec.jid(), job);
     liveBytes += job.payloadBytes();
+    liveHeap.add(job);
+  }
+
+  /** Counts the heap of a job again whose texts have changed. */
+  void textsChanged(Job job) {
+    if (isLive(job.spec.jid())) {
+      liveHeap.update(job);
+    } else {
+      ended.textsChanged(job);
+    }
   }
 
   /**
@@ -94,6 +105,7 @@
     liveJobs.remove(job.spec.jid());
     pending.removeDeadline(job);
     liveBytes -= job.payloadBytes();
+    liveHeap.remove(job);
     endedCounts.merge(job.state, 1L, Long::sum);
     ended.add(job);
   }
@@ -140,6 +152,11 @@
     return liveJobs.size();
   }
 
+  /** The heap that the jobs occupy which have not ended, in bytes. */
+  long liveHeapBytes() {
+    return liveHeap.bytes();
+  }
+
   /** Payload bytes of the jobs that have not ended. */
   long liveBytes() {
     return liveBytes;
--- a/src/main/java/loomreel/faktory/queue/PushRejection.java
+++ b/src/main/java/loomreel/faktory/queue/PushRejection.java
@@ -10,6 +10,8 @@
   TOO_MANY_JOBS,
   /** {@link QueueLimits#maxBytes()} would be exceeded. */
   TOO_MANY_BYTES,
+  /** {@link HeapLimits#maxLiveBytes()} would be exceeded. */
+  NO_MEMORY,
   /** The job's own deadline has passed. */
   DEADLINE_PASSED
 }
--- a/src/main/java/loomreel/faktory/queue/QueueLimits.java
+++ b/src/main/java/loomreel/faktory/queue/QueueLimits.java
@@ -8,9 +8,21 @@
  * @param baseBackoffMicros delay before the first retry, see {@link RetryBackoff}
  * @param retentionMicros how long an ended job is known
  * @param maxRetained how many ended jobs are known
+ * @param heap bounds of the heap that all jobs occupy
  */
 public record QueueLimits(
-    int maxJobs, long maxBytes, long baseBackoffMicros, long retentionMicros, int maxRetained) {
+    int maxJobs,
+    long maxBytes,
+    long baseBackoffMicros,
+    long retentionMicros,
+    int maxRetained,
+    HeapLimits heap) {
+  /** Creates limits without bounds of the heap. */
+  public QueueLimits(
+      int maxJobs, long maxBytes, long baseBackoffMicros, long retentionMicros, int maxRetained) {
+    this(maxJobs, maxBytes, baseBackoffMicros, retentionMicros, maxRetained, HeapLimits.NONE);
+  }
+
   /** Whether one more job may be added to so many that have not ended. */
   boolean admitJob(int liveJobs) {
     return liveJobs < maxJobs;
@@ -21,8 +33,18 @@
     return liveBytes + payloadBytes <= maxBytes;
   }
 
+  /** Whether a payload may be added to jobs that occupy so much heap and have not ended. */
+  boolean admitHeap(long liveHeapBytes, int payloadBytes) {
+    return liveHeapBytes + Job.LIVE_BYTES + payloadBytes <= heap.maxLiveBytes();
+  }
+
+  /** How many ended jobs can be known at most. */
+  public int maxKnownEndedJobs() {
+    return endedJobs().maxKnown();
+  }
+
   /** The bounds of what is retained of ended jobs. */
   EndedJobs.Limits endedJobs() {
-    return new EndedJobs.Limits(retentionMicros, maxRetained, maxBytes);
+    return new EndedJobs.Limits(retentionMicros, maxRetained, maxBytes, heap.maxEndedBytes());
   }
 }
--- a/src/main/java/loomreel/faktory/queue/StateReasons.java
+++ b/src/main/java/loomreel/faktory/queue/StateReasons.java
@@ -15,6 +15,7 @@
   static final String NONE = "";
 
   static final String DEADLINE_PASSED = "its own deadline passed";
+  static final String RESULT_NOT_RETAINED = "its result is not retained";
   static final String FAILED = "failed";
   static final String FAILED_BEFORE_IT_RAN = "failed before it ran";
   static final String DISCARDED = "discarded";
--- a/src/main/java/loomreel/faktory/scheduling/JobScheduler.java
+++ b/src/main/java/loomreel/faktory/scheduling/JobScheduler.java
@@ -29,6 +29,12 @@
   /** Attempts started in one turn of the loop, which delays HTTP clients for as long. */
   private static final int MAX_STARTS_PER_TURN = 16;
 
+  /**
+   * The part of the buffers for the payloads of attempts, so that jobs which can wait leave the
+   * rest to clients that cannot.
+   */
+  private static final double MAX_BUFFER_FRACTION = 0.25;
+
   /** The delay after which a dispatcher without capacity is checked again, in microseconds. */
   private static final long CAPACITY_RETRY_MICROS = 5_000;
 
@@ -46,6 +52,11 @@
   /** The attempts that have not ended, in order of their start. */
   private final Set<JobAttempt> openAttempts = new LinkedHashSet<>();
 
+  private final long maxOpenPayloadBytes;
+
+  /** Payload bytes of {@link #openAttempts}. */
+  private long openPayloadBytes;
+
   private EventLoop.Timer timer;
   private long nextRunAt = Long.MAX_VALUE;
   private boolean isDraining;
@@ -75,6 +86,7 @@
     this.recentAttempts = recentAttempts;
     this.outcomes = outcomes;
     this.random = random;
+    maxOpenPayloadBytes = (long) (loop.pool().scarceBytes() * MAX_BUFFER_FRACTION);
   }
 
   /** Runs in this turn of the loop or the next. */
@@ -121,7 +133,7 @@
     int started = 0;
     boolean hasCapacity = true;
     while (started < MAX_STARTS_PER_TURN && queue.hasReady()) {
-      hasCapacity = dispatcher.hasCapacity();
+      hasCapacity = dispatcher.hasCapacity() && openPayloadBytes < maxOpenPayloadBytes;
       Optional<String> next = hasCapacity ? nextQueue(now) : Optional.empty();
       if (next.isEmpty()) {
         break;
@@ -145,6 +157,7 @@
   private void start(Job job) {
     JobAttempt attempt = new JobAttempt(job, this, outcomes, persistence);
     openAttempts.add(attempt);
+    openPayloadBytes += job.payload().length;
     int requestClass = job.spec().requestClass();
     persistence.whenDurable(
         !classes.isIdempotent(requestClass) && persistence.isSynced(requestClass),
@@ -205,7 +218,9 @@
 
   /** Removes an attempt that has its outcome. */
   void ended(JobAttempt attempt) {
-    openAttempts.remove(attempt);
+    if (openAttempts.remove(attempt)) {
+      openPayloadBytes -= attempt.job().payload().length;
+    }
   }
 
   /**
@@ -224,7 +239,7 @@
   }
 
   private void returnToQueue(JobAttempt attempt) {
-    openAttempts.remove(attempt);
+    ended(attempt);
     limiter.recordFailed(attempt.job().spec().queue());
     if (attempt.rpc() != null) {
       dispatcher.cancel(attempt.rpc());
--- a/src/main/java/loomreel/faktory/scheduling/RecentAttempts.java
+++ b/src/main/java/loomreel/faktory/scheduling/RecentAttempts.java
@@ -17,11 +17,18 @@
   /** Bounds the memory; a worker that reports after so many further attempts is only logged. */
   private static final int MAX_ATTEMPTS = 100_000;
 
+  /** The same for a small heap, as a fraction of it. */
+  private static final double MAX_HEAP_FRACTION = 0.04;
+
+  /** Estimate of the heap for one attempt. */
+  private static final int BYTES_PER_ATTEMPT = 112;
+
   private static final long MICROS_PER_SECOND = 1_000_000;
 
   private final EventLoop loop;
   private final JobQueue queue;
   private final RateLimitedLogger log;
+  private final int maxAttempts;
 
   /** In order of their start, so that the oldest is removed first. */
   private final Map<String, Job> jobs =
@@ -30,12 +37,18 @@
 
         @Override
         protected boolean removeEldestEntry(Map.Entry<String, Job> eldest) {
-          return size() > MAX_ATTEMPTS;
+          return size() > maxAttempts;
         }
       };
 
-  /** Creates an empty record; the log gets reports on attempts that are not in it. */
-  public RecentAttempts(EventLoop loop, JobQueue queue, RateLimitedLogger log) {
+  /**
+   * Creates an empty record.
+   *
+   * @param log gets reports on attempts that are not in the record
+   * @param heapBytes the size of the heap
+   */
+  public RecentAttempts(EventLoop loop, JobQueue queue, RateLimitedLogger log, long heapBytes) {
+    maxAttempts = (int) Math.min(MAX_ATTEMPTS, heapBytes * MAX_HEAP_FRACTION / BYTES_PER_ATTEMPT);
     this.loop = loop;
     this.queue = queue;
     this.log = log;
@@ -57,6 +70,11 @@
     return Optional.ofNullable(job == null ? jobs.get(id) : job);
   }
 
+  /** Records the progress of a job that a worker or client has reported. */
+  public void recordProgress(Job job, String percent, String description) {
+    queue.setProgress(job, percent, description);
+  }
+
   /**
    * Records a report of a worker that does not change an attempt's end, as evidence on its job.
    *
--- a/src/main/java/loomreel/faktory/storage/DurableJobStore.java
+++ b/src/main/java/loomreel/faktory/storage/DurableJobStore.java
@@ -69,7 +69,9 @@
    */
   int restore(JobQueue queue, JobPayloadReader payloads, UnusableJobListener unusable, long now)
       throws IOException {
-    JobReplay replay = new JobReplay(codec);
+    JobReplay replay =
+        new JobReplay(
+            codec, queue.limits().maxKnownEndedJobs(), queue.limits().heap().maxRestoredBytes());
     log.open(replay);
     replay.inOrderOfEnd().forEach(end -> restoreEnded(queue, end, now));
     List<StoredJob> storedJobs = replay.inArrivalOrder();
--- a/src/main/java/loomreel/faktory/storage/JobReplay.java
+++ b/src/main/java/loomreel/faktory/storage/JobReplay.java
@@ -11,6 +11,9 @@
 
 /** Replays the records of earlier processes into jobs. */
 final class JobReplay implements WriteAheadLog.Reader {
+  /** Entries of {@link #ends} for each one that is needed, above which the oldest are removed. */
+  private static final long MAX_ENTRIES_PER_NEEDED_END = 2;
+
   private final JobRecordCodec codec;
 
   /** Jobs whose full record is needed, by jid. */
@@ -19,8 +22,22 @@
   /** Jobs that have ended for good, by jid; none of them is in {@link #jobs}. */
   private final Map<String, StoredEnd> ends = new HashMap<>();
 
-  JobReplay(JobRecordCodec codec) {
+  private final int maxEnds;
+  private final long maxJobBytes;
+
+  /** Size of the full records of all {@link #jobs}, in bytes. */
+  private long jobBytes;
+
+  /**
+   * Creates a replay of no records.
+   *
+   * @param maxEnds of how many ended jobs the ends are needed, the latest ones
+   * @param maxJobBytes size of the records of jobs that wait or are dead above which reading fails
+   */
+  JobReplay(JobRecordCodec codec, int maxEnds, long maxJobBytes) {
     this.codec = codec;
+    this.maxEnds = maxEnds;
+    this.maxJobBytes = maxJobBytes;
   }
 
   @Override
@@ -28,7 +45,7 @@
     JobRecord record = codec.decode(content);
     if (record instanceof JobRecord.FullJob full) {
       ends.remove(full.jid());
-      jobs.put(full.jid(), StoredJob.of(full, segment, content.length, sameBoot));
+      putJob(StoredJob.of(full, segment, content.length, sameBoot));
     } else if (record instanceof JobRecord.StateChange change) {
       replayStateChange(change, segment, sameBoot, content.length);
     } else if (record instanceof JobRecord.Ended end) {
@@ -39,16 +56,34 @@
         job.markHandedOut();
       }
     } else {
-      jobs.remove(record.jid());
+      removeJob(record.jid());
+    }
+  }
+
+  private void putJob(StoredJob job) throws IOException {
+    removeJob(job.jid());
+    jobs.put(job.jid(), job);
+    jobBytes += job.recordBytes();
+    if (jobBytes > maxJobBytes) {
+      throw new IOException(
+          "the jobs in the spool take over "
+              + maxJobBytes
+              + " bytes, too much for this heap: start with a larger one (-Xmx)");
     }
   }
 
+  private void removeJob(String jid) {
+    StoredJob removed = jobs.remove(jid);
+    jobBytes -= removed == null ? 0 : removed.recordBytes();
+  }
+
   private void replayStateChange(
-      JobRecord.StateChange change, int segment, boolean sameBoot, int recordBytes) {
+      JobRecord.StateChange change, int segment, boolean sameBoot, int recordBytes)
+      throws IOException {
     StoredJob before = jobs.get(change.jid());
     Job.Snapshot snapshot = change.snapshot();
     if (before != null) {
-      jobs.put(change.jid(), before.after(change, sameBoot));
+      putJob(before.after(change, sameBoot));
     } else if (snapshot.state() == Job.State.DEAD) {
       // Earlier versions write this for a dead job that is not retained. Of one that is retained,
       // the full record was in a segment that has been removed, and a new full record follows.
@@ -62,8 +97,16 @@
   }
 
   private void replayEnd(JobRecord.Ended end, int segment, int recordBytes) {
-    jobs.remove(end.jid());
+    removeJob(end.jid());
     ends.put(end.jid(), new StoredEnd(end, segment, recordBytes));
+    if (ends.size() > MAX_ENTRIES_PER_NEEDED_END * maxEnds) {
+      removeOldestEnds();
+    }
+  }
+
+  private void removeOldestEnds() {
+    List<StoredEnd> inOrder = inOrderOfEnd();
+    inOrder.subList(0, inOrder.size() - maxEnds).forEach(end -> ends.remove(end.record().jid()));
   }
 
   /** The jobs whose full record is needed, in the order of their arrival. */
--- a/src/main/java/loomreel/io/BufferPool.java
+++ b/src/main/java/loomreel/io/BufferPool.java
@@ -44,6 +44,11 @@
     freeBuffers.addLast(buffer);
   }
 
+  /** Returns the size, in bytes, of the acquired buffers at which {@link #isScarce} is true. */
+  public long scarceBytes() {
+    return (long) scarcityThreshold * SIZE;
+  }
+
   /**
    * Returns whether the number of acquired buffers has reached the scarcity threshold. While this
    * method returns true, users of the pool limit the input that they buffer:
--- a/src/main/java/loomreel/io/ByteQueue.java
+++ b/src/main/java/loomreel/io/ByteQueue.java
@@ -76,6 +76,16 @@
     }
   }
 
+  /** Returns whether the content begins with some bytes, which fit into one buffer. */
+  public boolean startsWith(byte[] prefix) {
+    if (length < prefix.length) {
+      return false;
+    }
+    ByteBuffer first = buffers.peekFirst().duplicate().flip().position(frontOffset);
+    return first.remaining() >= prefix.length
+        && first.limit(first.position() + prefix.length).equals(ByteBuffer.wrap(prefix));
+  }
+
   /** Returns a copy of the content. */
   public byte[] toArray() {
     byte[] content = new byte[length];
--- a/src/main/java/loomreel/wal/LogRecord.java
+++ b/src/main/java/loomreel/wal/LogRecord.java
@@ -2,6 +2,7 @@
 
 import java.nio.ByteBuffer;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.zip.CRC32C;
 
 /**
@@ -38,6 +39,20 @@
         .array();
   }
 
+  /**
+   * Returns the size of the record that begins at the current position of a buffer, including its
+   * header, in bytes. Returns empty if no valid header begins there.
+   */
+  static OptionalInt recordBytes(ByteBuffer segment) {
+    if (segment.remaining() < HEADER_BYTES) {
+      return OptionalInt.empty();
+    }
+    int length = segment.getInt(segment.position());
+    return length > 0 && length <= MAX_CONTENT_BYTES
+        ? OptionalInt.of(HEADER_BYTES + length)
+        : OptionalInt.empty();
+  }
+
   /**
    * Reads the record that begins at the current position of a buffer, and moves the position to the
    * end of the record. If no complete and valid record begins there, the position does not change.
@@ -46,15 +61,12 @@
    * @return the content of the record; empty if no complete and valid record begins at the position
    */
   static Optional<byte[]> readNext(ByteBuffer segment) {
-    if (segment.remaining() < HEADER_BYTES) {
+    OptionalInt recordBytes = recordBytes(segment);
+    if (recordBytes.isEmpty() || segment.remaining() < recordBytes.getAsInt()) {
       return Optional.empty();
     }
     int start = segment.position();
-    int length = segment.getInt(start);
-    boolean isLengthValid = length > 0 && length <= MAX_CONTENT_BYTES;
-    if (!isLengthValid || segment.remaining() - HEADER_BYTES < length) {
-      return Optional.empty();
-    }
+    int length = recordBytes.getAsInt() - HEADER_BYTES;
     byte[] content = new byte[length];
     segment.get(start + HEADER_BYTES, content);
     if (checksum(content) != segment.getInt(start + CHECKSUM_OFFSET)) {
--- a/src/main/java/loomreel/wal/SegmentDirectory.java
+++ b/src/main/java/loomreel/wal/SegmentDirectory.java
@@ -33,7 +33,7 @@
   private static final String HEADER_PREFIX = "loomreel journal 1 ";
 
   /** The maximum number of bytes of a segment in which the end of the header line is searched. */
-  private static final int MAX_HEADER_BYTES = 128;
+  static final int MAX_HEADER_BYTES = 128;
 
   /** The file in which Linux provides the boot id, which is unique for each boot of the machine. */
   private static final Path BOOT_ID_FILE = Path.of("/proc/sys/kernel/random/boot_id");
@@ -101,9 +101,9 @@
     return directory.resolve(String.format("%010d.journal", segment));
   }
 
-  /** Reads all bytes of a segment, including its header. */
-  ByteBuffer read(int segment) throws IOException {
-    return ByteBuffer.wrap(Files.readAllBytes(file(segment)));
+  /** Opens a segment for reading. The caller owns the returned reader. */
+  SegmentReader read(int segment) throws IOException {
+    return new SegmentReader(file(segment));
   }
 
   /**
@@ -111,7 +111,7 @@
    * after the header line. If the segment does not begin with a header line, the position does not
    * change.
    *
-   * @param segment the buffer, with the content of a segment
+   * @param segment the buffer, with the beginning of a segment
    * @return the boot id in the header line; empty if the segment does not begin with a header line
    */
   static Optional<String> readHeader(ByteBuffer segment) {
--- a/src/main/java/loomreel/wal/WriteAheadLog.java
+++ b/src/main/java/loomreel/wal/WriteAheadLog.java
@@ -119,22 +119,23 @@
    */
   public void open(Reader reader) throws IOException {
     for (int segment : segmentSizes.keySet()) {
-      ByteBuffer content = directory.read(segment);
-      Optional<String> bootId = SegmentDirectory.readHeader(content);
-      if (bootId.isPresent()) {
-        readRecords(segment, directory.isThisBoot(bootId.get()), content, reader);
+      try (SegmentReader content = directory.read(segment)) {
+        Optional<String> bootId = content.readHeader();
+        if (bootId.isPresent()) {
+          readRecords(segment, directory.isThisBoot(bootId.get()), content, reader);
+        }
+        truncatedBytes += (int) content.remainingBytes();
       }
-      truncatedBytes += content.remaining();
     }
     openNextSegment();
   }
 
-  private static void readRecords(int segment, boolean sameBoot, ByteBuffer content, Reader reader)
-      throws IOException {
-    Optional<byte[]> record = LogRecord.readNext(content);
+  private static void readRecords(
+      int segment, boolean sameBoot, SegmentReader content, Reader reader) throws IOException {
+    Optional<byte[]> record = content.readRecord();
     while (record.isPresent()) {
       reader.record(segment, sameBoot, record.get());
-      record = LogRecord.readNext(content);
+      record = content.readRecord();
     }
   }
 
--- a/src/test/java/loomreel/program/harness/ProgramCommand.java
+++ b/src/test/java/loomreel/program/harness/ProgramCommand.java
@@ -27,7 +27,7 @@
    * value of {@code run} is the command that starts the program. The flags are the words between
    * {@code java} and {@code -jar} in this command.
    */
-  static List<String> deployedFlags() throws IOException {
+  public static List<String> deployedFlags() throws IOException {
     Matcher runLine =
         Pattern.compile("(?m)^run = \"exec java (.*?) -jar ")
             .matcher(Files.readString(Path.of("deploy", "balancer.toml")));
