Evict the connection that has been stalled longest while buffers are scarce

Callers saw: beside 400 clients with half-sent bodies or callbacks of 60 KB, or 230 with half-sent batches of 1.5 MB, sound clients got 503.

Cause: while buffers were scarce, whoever sent the next bytes of a body was rejected; those who held the buffers kept them. Nothing measured the bound against the JVM's own limit for direct buffers.

Change: the longest stalled connection is evicted; input is rejected only at 1.5 times that bound, which is also a part of the heap. A head is dropped with its message.

--- a/src/main/java/loomreel/faktory/FaktoryConnection.java
+++ b/src/main/java/loomreel/faktory/FaktoryConnection.java
@@ -16,6 +16,7 @@
 import loomreel.io.ByteConnection;
 import loomreel.io.EventLoop;
 import loomreel.io.RateLimitedLogger;
+import loomreel.io.StalledConnections;
 
 /**
  * One connection of a Faktory client or worker: frames commands, one a line, passes them to the
@@ -135,6 +136,11 @@
 
   @Override
   protected void bytesReceived(ByteBuffer in) {
+    readCommands(in);
+    updateStalled();
+  }
+
+  private void readCommands(ByteBuffer in) {
     while (state.acceptsInput() && in.hasRemaining()) {
       if (state.isBusy() || out.length() > MAX_UNREAD_REPLY_BYTES) {
         pipelined.add(in);
@@ -178,13 +184,58 @@
     }
   }
 
+  /** Takes over the ownership of a command that waits for its turn. */
+  void hold(CommandLine command) {
+    heldCommand = command;
+    updateStalled();
+  }
+
   /**
-   * Takes over the ownership of a command that waits for its turn.
+   * Gives up the ownership of a command whose turn it is.
    *
-   * @param command null once it is taken
+   * @return false if the connection has closed or the command was rejected meanwhile
    */
-  void hold(CommandLine command) {
-    heldCommand = command;
+  boolean takeHeld(CommandLine command) {
+    boolean isHeld = !isClosed() && command.equals(heldCommand);
+    if (isHeld) {
+      heldCommand = null;
+      updateStalled();
+    }
+    return isHeld;
+  }
+
+  /** Whether the buffers of this connection wait for its peer, or for the turn of its command. */
+  private void updateStalled() {
+    if (!isClosed() && isHoldingBuffers()) {
+      loop.stalledConnections()
+          .add(
+              this,
+              isWorker()
+                  ? StalledConnections.Eviction.WHEN_EXHAUSTED
+                  : StalledConnections.Eviction.WHEN_SCARCE);
+    } else {
+      loop.stalledConnections().remove(this);
+    }
+  }
+
+  private boolean isHoldingBuffers() {
+    return !lines.atStart() || !pipelined.isEmpty() || out.length() > 0 || heldCommand != null;
+  }
+
+  /** Rejects a command that is incomplete or waits for its turn; discards unread replies. */
+  @Override
+  protected void evict() {
+    Reply error = Reply.error("no memory for long commands now");
+    if (heldCommand != null) {
+      heldCommand.release();
+      heldCommand = null;
+      completeCommand(error);
+    } else if (out.length() == 0 && state.acceptsInput() && !state.isBusy()) {
+      lines.release();
+      replyAndClose(error);
+    } else {
+      close();
+    }
   }
 
   /** A command is under way whose reply follows with {@link #completeCommand}. */
@@ -279,6 +330,7 @@
     }
     if (!isClosed() && out.length() > 0 && !unreadReplyTimeout.isStarted()) {
       unreadReplyTimeout.start(TIMEOUT_MICROS, this::close);
+      updateStalled();
     }
   }
 
@@ -294,6 +346,7 @@
   @Override
   protected void flushed() {
     unreadReplyTimeout.stop();
+    updateStalled();
     if (workerSession != null) {
       workerSession.bytesWritten(appendedBytes);
     }
@@ -330,10 +383,10 @@
 
   private void releaseResources() {
     lines.release();
+    pipelined.release();
     if (heldCommand != null) {
       heldCommand.release();
     }
-    pipelined.release();
     inputTimeout.stop();
     unreadReplyTimeout.stop();
   }
--- a/src/main/java/loomreel/faktory/ProducerCommands.java
+++ b/src/main/java/loomreel/faktory/ProducerCommands.java
@@ -50,11 +50,10 @@
   }
 
   private void startBatch(FaktoryConnection connection, CommandLine command, int bytes) {
-    if (connection.isClosed()) {
+    if (!connection.takeHeld(command)) {
       batches.finished(bytes);
       return;
     }
-    connection.hold(null);
     PushBatch batch =
         new PushBatch(
             loop,
--- a/src/main/java/loomreel/faktory/protocol/LineReader.java
+++ b/src/main/java/loomreel/faktory/protocol/LineReader.java
@@ -78,7 +78,7 @@
     if (bytes > maxLineBytes + 1) {
       throw new BadLineException("a command of over " + maxLineBytes + " bytes");
     }
-    if (bytes > BufferPool.SIZE && bufferPool.isScarce()) {
+    if (bytes > BufferPool.SIZE && bufferPool.isExhausted()) {
       throw new BadLineException("no memory for long commands now");
     }
   }
--- a/src/main/java/loomreel/http/HttpMessageParser.java
+++ b/src/main/java/loomreel/http/HttpMessageParser.java
@@ -38,7 +38,7 @@
   private static final Pattern CONTENT_LENGTH = Pattern.compile("[0-9]{1,18}");
   private static final Pattern CHUNK_SIZE = Pattern.compile("[0-9a-fA-F]{1,15}");
   private static final String CHUNKED = "chunked";
-  private static final String EXPECT_HEADER = "expect";
+  static final String EXPECT_HEADER = "expect";
   private static final String CONTINUE_EXPECTATION = "100-continue";
 
   private enum State {
@@ -61,8 +61,8 @@
   private int trailerLength;
 
   /**
-   * The head that was parsed last. While the head of the current message is incomplete, this is the
-   * head of the previous message. Null before the first head is complete.
+   * The head of the current message, or of an interim response before it. Null while the head is
+   * incomplete.
    */
   private HttpHead head;
 
@@ -178,6 +178,7 @@
 
   private HttpMessage completeMessage() {
     HttpMessage message = new HttpMessage(head.startLine(), head.headers(), body, keepAlive);
+    head = null;
     state = State.HEAD;
     body = null;
     trailerLength = 0;
@@ -262,7 +263,7 @@
 
   /** Reads bytes of the body or chunk, and returns whether they complete the message. */
   private boolean readBody(ByteBuffer in) throws BadMessageException {
-    if (pool.isScarce()) {
+    if (pool.isExhausted()) {
       throw new BadMessageException(HttpStatus.SERVICE_UNAVAILABLE, "no buffers left");
     }
     int remainingBefore = in.remaining();
--- a/src/main/java/loomreel/ingress/ClientConnection.java
+++ b/src/main/java/loomreel/ingress/ClientConnection.java
@@ -14,6 +14,7 @@
 import loomreel.http.HttpMessage;
 import loomreel.http.HttpStatus;
 import loomreel.io.EventLoop;
+import loomreel.io.StalledConnections;
 
 /**
  * An accepted HTTP connection. The peer is a client that submits jobs, a worker that sends job
@@ -130,6 +131,21 @@
       out.append(CONTINUE_RESPONSE);
       flush();
     }
+    if (state == ClientConnectionState.READING && !parser.atStart()) {
+      loop.stalledConnections().add(this, StalledConnections.Eviction.WHEN_SCARCE);
+    }
+  }
+
+  /** Rejects a request that has been received partially, and discards a response that is unread. */
+  @Override
+  protected void evict() {
+    ingress.recordEviction();
+    if (state == ClientConnectionState.READING) {
+      parser.release();
+      respondAndClose(HttpStatus.SERVICE_UNAVAILABLE);
+    } else {
+      close();
+    }
   }
 
   /**
@@ -172,6 +188,7 @@
   @Override
   protected void received(HttpMessage message) {
     cancelTimer();
+    loop.stalledConnections().remove(this);
     ingress.markBusy(this);
     apply(ClientConnectionState.Event.REQUEST_RECEIVED);
     if (!message.keepAlive()) {
@@ -300,7 +317,11 @@
     out.append(HttpHeaders.response(status, body.length, headers.toArray(String[]::new)));
     out.append(body);
     startTimeout();
+    loop.stalledConnections().remove(this);
     flush();
+    if (!isClosed() && out.length() > 0) {
+      loop.stalledConnections().add(this, StalledConnections.Eviction.WHEN_SCARCE);
+    }
   }
 
   @Override
@@ -317,6 +338,7 @@
       return;
     }
     cancelTimer();
+    loop.stalledConnections().remove(this);
     apply(ClientConnectionState.Event.RESPONSE_WRITTEN);
     switch (state) {
       case READING -> resumeReading();
--- a/src/main/java/loomreel/ingress/HttpIngress.java
+++ b/src/main/java/loomreel/ingress/HttpIngress.java
@@ -67,6 +67,7 @@
   private final ConnectionLimiter limiter;
   private int acceptedCount;
   private int timeoutCount;
+  private int evictedStalledCount;
 
   /**
    * Creates an ingress that accepts no connection before {@link #open}.
@@ -170,6 +171,8 @@
         + limiter.evictedUnprovenCount()
         + " evicted_idle="
         + limiter.evictedIdleCount()
+        + " evicted_stalled="
+        + evictedStalledCount
         + " timeouts="
         + timeoutCount
         + " jobs_without_capacity="
@@ -194,6 +197,11 @@
     timeoutCount++;
   }
 
+  /** Counts a connection that was stalled and was evicted to release its buffers. */
+  void recordEviction() {
+    evictedStalledCount++;
+  }
+
   /** Returns whether a response that starts now is the last one on its connection. */
   boolean isFinalResponse(boolean fromWorker) {
     return gate.isFinalResponse(fromWorker);
--- a/src/main/java/loomreel/io/BufferPool.java
+++ b/src/main/java/loomreel/io/BufferPool.java
@@ -14,6 +14,9 @@
    */
   public static final int SIZE = 8192;
 
+  /** The number of buffers at which they are exhausted, as a multiple of the scarcity threshold. */
+  private static final double EXHAUSTION_FACTOR = 1.5;
+
   private final ArrayDeque<ByteBuffer> freeBuffers = new ArrayDeque<>();
   private final int scarcityThreshold;
   private int acquiredCount;
@@ -30,7 +33,7 @@
 
   /**
    * Returns an empty buffer. If no buffer is free, allocates one. This method does not enforce the
-   * scarcity threshold; the users of the pool check {@link #isScarce} instead.
+   * scarcity threshold; the users of the pool check {@link #isScarce} and {@link #isExhausted}.
    */
   ByteBuffer acquire() {
     acquiredCount++;
@@ -50,20 +53,21 @@
   }
 
   /**
-   * Returns whether the number of acquired buffers has reached the scarcity threshold. While this
-   * method returns true, users of the pool limit the input that they buffer:
-   *
-   * <ul>
-   *   <li>An HTTP message is rejected when bytes of its body arrive. This applies to requests and
-   *       responses, and also to a body of which a part is already buffered.
-   *   <li>The pipelined input of an HTTP connection, and an incomplete Faktory command, are limited
-   *       to {@link #SIZE} bytes.
-   * </ul>
-   *
-   * <p>Output, such as responses, is not limited. Further buffers are left for output and for short
-   * input.
+   * Returns whether the number of acquired buffers has reached the scarcity threshold. Then {@link
+   * StalledConnections} are evicted, and the pipelined input of an HTTP connection is limited to
+   * {@link #SIZE} bytes.
    */
   public boolean isScarce() {
     return acquiredCount >= scarcityThreshold;
   }
+
+  /**
+   * Returns whether so many buffers are acquired that input is rejected: the body of an HTTP
+   * message when bytes of it arrive, and an incomplete Faktory command of more than {@link #SIZE}
+   * bytes. Output, such as responses, is not limited. Further buffers are left for output and for
+   * short input.
+   */
+  public boolean isExhausted() {
+    return acquiredCount >= scarcityThreshold * EXHAUSTION_FACTOR;
+  }
 }
--- a/src/main/java/loomreel/io/ByteConnection.java
+++ b/src/main/java/loomreel/io/ByteConnection.java
@@ -173,6 +173,14 @@
     }
   }
 
+  /**
+   * Called when this connection is evicted, as one of the {@link StalledConnections}, to release
+   * its buffers at once. Closes the connection by default.
+   */
+  protected void evict() {
+    close();
+  }
+
   private void handleDisconnect() {
     if (!closed) {
       broken();
@@ -187,6 +195,7 @@
   public void close() {
     if (!closed) {
       closed = true;
+      loop.stalledConnections().remove(this);
       out.release();
       selectionKey.cancel();
       try {
--- a/src/main/java/loomreel/io/EventLoop.java
+++ b/src/main/java/loomreel/io/EventLoop.java
@@ -91,6 +91,7 @@
   private final TraceWriter trace;
 
   private final ByteBuffer readBuffer = ByteBuffer.allocateDirect(BufferPool.SIZE);
+  private final StalledConnections stalledConnections;
   private final TimerQueue timers = new TimerQueue();
   private final Consumer<Runnable> guardedRunner = this::runGuarded;
   private final Queue<Runnable> postedTasks = new ConcurrentLinkedQueue<>();
@@ -124,6 +125,7 @@
    */
   public EventLoop(BufferPool pool, Optional<TraceWriter> trace) throws IOException {
     this.pool = pool;
+    stalledConnections = new StalledConnections(pool);
     this.trace = trace.orElse(null);
     selector = Selector.open();
   }
@@ -215,6 +217,9 @@
       if (key.isValid()) {
         runGuarded(() -> ((Handler) key.attachment()).ready(key));
       }
+      if (pool.isScarce()) {
+        runGuarded(stalledConnections::evictExcess);
+      }
     }
     selector.selectedKeys().clear();
   }
@@ -262,6 +267,11 @@
     return pool;
   }
 
+  /** Returns the connections that may be evicted while buffers of the pool are scarce. */
+  public StalledConnections stalledConnections() {
+    return stalledConnections;
+  }
+
   /** Returns the writer of trace lines, or null if tracing is off, which is the default. */
   public TraceWriter trace() {
     return trace;
--- a/src/main/java/loomreel/server/Server.java
+++ b/src/main/java/loomreel/server/Server.java
@@ -39,6 +39,9 @@
    */
   private static final int MEMORY_TO_BUFFER_RATIO = 16;
 
+  /** The maximum size of these buffers, as a fraction of the heap. */
+  private static final double MAX_HEAP_TO_BUFFER_RATIO = 5 / 16.0;
+
   private final RateLimitedLogger log = new RateLimitedLogger("loomreel.server");
   private final EventLoop loop;
   private final Dispatcher dispatcher;
@@ -111,7 +114,10 @@
   }
 
   private static BufferPool bufferPool(ServeConfig config) {
-    return new BufferPool((int) (config.memoryBytes() / MEMORY_TO_BUFFER_RATIO / BufferPool.SIZE));
+    long bytesByMemory = config.memoryBytes() / MEMORY_TO_BUFFER_RATIO;
+    // The JVM limits direct buffers as well, by default to the size of the heap.
+    long bytesByHeap = (long) (Runtime.getRuntime().maxMemory() * MAX_HEAP_TO_BUFFER_RATIO);
+    return new BufferPool((int) (Math.min(bytesByMemory, bytesByHeap) / BufferPool.SIZE));
   }
 
   private static HttpWorkerPool workerPool(ServeConfig config, Dispatcher dispatcher) {
--- a/src/test/java/loomreel/faktory/DaemonSettings.java
+++ b/src/test/java/loomreel/faktory/DaemonSettings.java
@@ -13,6 +13,7 @@
   private final List<String> queues = new ArrayList<>();
   private final List<String> httpWorkers = new ArrayList<>();
   private final List<String> rules = new ArrayList<>();
+  private String memory;
   private final List<String> faktory = new ArrayList<>();
 
   /** Adds a request class, with its value of {@code repeat}. */
@@ -66,11 +67,20 @@
     return withFaktory(key, "\"" + text + "\"");
   }
 
+  /** Sets the memory that the daemon may use, such as {@code 192MiB}. */
+  DaemonSettings withMemory(String size) {
+    memory = size;
+    return this;
+  }
+
   /** Writes the file, which is deleted when the test run ends. */
   Path write() throws IOException {
     List<String> sections = new ArrayList<>();
     sections.add("name: \"t\"");
     sections.add("listen: {http: \"127.0.0.1:0\", operators: \"127.0.0.1:0\"}");
+    if (memory != null) {
+      sections.add("limits: memory: \"" + memory + "\"");
+    }
     addSection(sections, "workers", httpWorkers);
     addSection(sections, "classes", classes);
     addSection(sections, "rules", rules);
