Hold only the headers that the program reads

Callers saw: 400 clients with 6.5 KB heads of short fields and a body half sent ended the process with the heap of run.

Cause: each field was held as two strings while the body was awaited, about 200 KB for a head. Change: all fields are checked, those that are read are held, once each (twice where a second one makes the message malformed).

--- a/src/main/java/loomreel/http/HttpHead.java
+++ b/src/main/java/loomreel/http/HttpHead.java
@@ -8,7 +8,7 @@
  * The parsed head of a request or response.
  *
  * @param startLine the parts of the start line, as in {@link HttpMessage#startLine}
- * @param headers alternating names, in lower case, and values
+ * @param headers alternating names, in lower case, and values of the {@link RetainedHeaders}
  * @param keepAlive whether the connection may carry another message after this one
  */
 record HttpHead(List<String> startLine, List<String> headers, boolean keepAlive) {
@@ -18,9 +18,9 @@
   private static final String VERSION_1_1 = "HTTP/1.1";
 
   // Names of headers, in lower case.
-  private static final String CONNECTION = "connection";
-  private static final String CONTENT_LENGTH = "content-length";
-  private static final String TRANSFER_ENCODING = "transfer-encoding";
+  static final String CONNECTION = "connection";
+  static final String CONTENT_LENGTH = "content-length";
+  static final String TRANSFER_ENCODING = "transfer-encoding";
 
   /** The separator characters, which a token must not contain. */
   private static final String SEPARATORS = "()<>@,;:\\\"/[]?={} \t";
@@ -64,19 +64,37 @@
   }
 
   private static List<String> parseHeaders(String[] lines) throws BadMessageException {
-    List<String> headers = new ArrayList<>(2 * lines.length);
+    List<String> headers = new ArrayList<>();
     for (int i = 1; i < lines.length; i++) {
       String line = lines[i];
       int colon = line.indexOf(':');
       if (colon < 1 || !isToken(line.substring(0, colon)) || hasControlCharacter(line)) {
         throw new BadMessageException(HttpStatus.BAD_REQUEST, "malformed header");
       }
-      headers.add(line.substring(0, colon).toLowerCase(Locale.ROOT));
-      headers.add(line.substring(colon + 1).strip());
+      String name = line.substring(0, colon).toLowerCase(Locale.ROOT);
+      String value = line.substring(colon + 1).strip();
+      if (RetainedHeaders.contains(name) && isNeeded(headers, name, value)) {
+        headers.add(name);
+        headers.add(value);
+      }
     }
     return headers;
   }
 
+  /**
+   * Returns whether a header adds to those that are retained. Of most headers, the first one
+   * counts. Of the headers that frame the body, a second one makes the message malformed.
+   */
+  private static boolean isNeeded(List<String> headers, String name, String value) {
+    long count = headers.stream().filter(name::equals).count();
+    return switch (name) {
+      case CONTENT_LENGTH ->
+          count == 0 || !value.equals(HttpMessage.findHeader(headers, CONTENT_LENGTH));
+      case TRANSFER_ENCODING -> count < 2;
+      default -> count == 0;
+    };
+  }
+
   private static boolean hasControlCharacter(String line) {
     return line.indexOf('\r') >= 0 || line.indexOf('\n') >= 0 || line.indexOf('\0') >= 0;
   }
--- a/src/main/java/loomreel/http/HttpMessage.java
+++ b/src/main/java/loomreel/http/HttpMessage.java
@@ -8,7 +8,8 @@
  *
  * @param startLine the parts of the start line: method, target and version of a request; version,
  *     status code and, if present, reason phrase of a response
- * @param headers alternating names, in lower case, and values
+ * @param headers alternating names, in lower case, and values of the headers that this program
+ *     reads
  * @param body the content; whoever owns the message owns the body and must release it
  * @param keepAlive whether the connection may carry another message after this one
  */
--- a/src/main/java/loomreel/http/JobHeader.java
+++ b/src/main/java/loomreel/http/JobHeader.java
@@ -46,6 +46,11 @@
     this.lowerCaseName = fieldName.toLowerCase(Locale.ROOT);
   }
 
+  /** Returns the name of this header in lower case. */
+  String lowerCaseName() {
+    return lowerCaseName;
+  }
+
   /** Returns the value of this header in a message, or null if the message has no such header. */
   public String valueIn(HttpMessage message) {
     return message.header(lowerCaseName);
