Release the timers of a call that has ended

Callers saw: jobs with long budgets at full speed made the process slower: p99 112 ms instead of 16 ms after 14,000 jobs with a budget of 1,000 s (trial).

Cause: cancelled timers stayed in the queue until they were due, and the timers of a call were not cancelled at its end. They are due at the budget, which the client chooses (up to 11 days).

Change: many cancelled timers are removed at once; the overdue timer is cancelled with its call; those of the policy are cancelled when it no longer awaits them, which DispatchPolicy.awaitsTimer tells. No decision changes.

--- a/src/main/java/loomreel/core/ActionExecutor.java
+++ b/src/main/java/loomreel/core/ActionExecutor.java
@@ -18,6 +18,7 @@
   private final EventLoop loop;
   private final CallTable calls;
   private final WorkerPools pools;
+  private final PolicyTimers timers;
   private final int maxAttempts;
 
   ActionExecutor(
@@ -30,6 +31,9 @@
     this.loop = loop;
     this.calls = calls;
     this.pools = pools;
+    this.timers =
+        new PolicyTimers(
+            loop, token -> dispatcher.submit(new Event.TimerFired(token)), dispatcher::awaitsTimer);
     this.maxAttempts = limits.maxAttempts();
   }
 
@@ -51,7 +55,7 @@
     } else if (action instanceof Action.CheckHealth check) {
       checkHealth(check);
     } else if (action instanceof Action.SetTimer timer) {
-      setTimer(timer);
+      timers.set(timer.time(), timer.token());
     } else if (action instanceof Action.PollEndpoints) {
       pools.pollEndpoints();
     } else if (action instanceof Action.Log line) {
@@ -151,8 +155,4 @@
       subchannel.checkHealth();
     }
   }
-
-  private void setTimer(Action.SetTimer timer) {
-    loop.schedule(timer.time(), () -> dispatcher.submit(new Event.TimerFired(timer.token())));
-  }
 }
--- a/src/main/java/loomreel/core/Dispatcher.java
+++ b/src/main/java/loomreel/core/Dispatcher.java
@@ -205,8 +205,8 @@
   public void accept(Rpc rpc, Event.RequestArrived arrival) {
     metrics.recordAcceptedCall();
     calls.add(rpc);
-    loop.schedule(
-        Math.min(shutdownDeadline, rpc.deadline() + answerGraceMicros), () -> failOverdue(rpc));
+    long overdueAt = Math.min(shutdownDeadline, rpc.deadline() + answerGraceMicros);
+    rpc.setOverdueTimer(loop.schedule(overdueAt, () -> failOverdue(rpc)));
     submit(arrival);
   }
 
@@ -338,6 +338,11 @@
     calls.abortUnsentAttempts(worker);
   }
 
+  /** Returns whether the policy still handles the timers with a token. */
+  boolean awaitsTimer(long token) {
+    return policy.awaitsTimer(token);
+  }
+
   /** Passes an event to the policy. */
   void submit(Event event) {
     policy.submit(event);
--- a/src/main/java/loomreel/core/PolicyDriver.java
+++ b/src/main/java/loomreel/core/PolicyDriver.java
@@ -75,6 +75,11 @@
     executor.accept(action);
   }
 
+  /** Returns whether the policy still handles the timers with a token. */
+  boolean awaitsTimer(long token) {
+    return policy.awaitsTimer(token);
+  }
+
   /**
    * Returns the current number of listed workers that are ejected by the policy or disabled by
    * operators.
--- a/src/main/java/loomreel/core/Rpc.java
+++ b/src/main/java/loomreel/core/Rpc.java
@@ -5,6 +5,7 @@
 import java.util.function.Predicate;
 import loomreel.decision.AttemptOutcome;
 import loomreel.io.ByteQueue;
+import loomreel.io.EventLoop;
 
 /**
  * A call: the request of a client to have a job processed, together with the attempts to process
@@ -64,6 +65,9 @@
   private final List<CallAttempt> attempts = new ArrayList<>(2);
   private boolean completed;
 
+  /** The timer that fails this call if it has no answer in time; null before it is set. */
+  private EventLoop.Timer overdueTimer;
+
   /**
    * Creates a call that has not been accepted. The accessors of this class describe the other
    * parameters.
@@ -131,6 +135,11 @@
     return outcome == null || !outcome.neverRan();
   }
 
+  /** Sets the timer that fails this call. It is cancelled when this call is completed. */
+  void setOverdueTimer(EventLoop.Timer timer) {
+    overdueTimer = timer;
+  }
+
   void addAttempt(CallAttempt attempt) {
     attempts.add(attempt);
   }
@@ -205,6 +214,9 @@
     boolean isFirstCompletion = !completed;
     completed = true;
     body.release();
+    if (overdueTimer != null) {
+      overdueTimer.cancel();
+    }
     if (isFirstCompletion) {
       abortUnsent(attempt -> true);
     }
--- a/src/main/java/loomreel/decision/DispatchPolicy.java
+++ b/src/main/java/loomreel/decision/DispatchPolicy.java
@@ -76,4 +76,12 @@
   public int ejectedWorkers(long now) {
     return state.workers.countUnavailable(now);
   }
+
+  /**
+   * Returns whether the policy still handles the timers with a token: a request handles its timers
+   * until it has ended. The policy must have been started before.
+   */
+  public boolean awaitsTimer(long token) {
+    return token <= PolicyState.QUEUE_TIMER || state.requests.byToken(token) != null;
+  }
 }
--- a/src/main/java/loomreel/io/EventLoop.java
+++ b/src/main/java/loomreel/io/EventLoop.java
@@ -36,13 +36,15 @@
    * Timers with the same due time run in the order in which they were scheduled.
    */
   public static final class Timer implements Comparable<Timer> {
+    private final TimerQueue queue;
     private final long dueAtMicros;
     private final long sequenceNumber;
 
-    /** The task to run; null once the timer is cancelled. */
+    /** The task to run; null once the timer has run or is cancelled. */
     private Runnable task;
 
-    Timer(long dueAtMicros, long sequenceNumber, Runnable task) {
+    Timer(TimerQueue queue, long dueAtMicros, long sequenceNumber, Runnable task) {
+      this.queue = queue;
       this.dueAtMicros = dueAtMicros;
       this.sequenceNumber = sequenceNumber;
       this.task = task;
@@ -50,10 +52,14 @@
 
     /** Cancels the timer. Has no effect if its task has already run. */
     public void cancel() {
-      task = null;
+      if (task != null) {
+        task = null;
+        queue.cancelled();
+      }
     }
 
-    boolean isCancelled() {
+    /** Returns whether the timer has run or is cancelled. */
+    public boolean isDone() {
       return task == null;
     }
 
@@ -61,9 +67,11 @@
       return dueAtMicros;
     }
 
-    /** Returns the task, or null if the timer is cancelled. */
-    Runnable task() {
-      return task;
+    /** Takes the task of a timer that is due; null if the timer is cancelled. */
+    Runnable takeTask() {
+      Runnable taken = task;
+      task = null;
+      return taken;
     }
 
     /**
--- a/src/main/java/loomreel/io/TimerQueue.java
+++ b/src/main/java/loomreel/io/TimerQueue.java
@@ -8,7 +8,14 @@
  * only.
  */
 final class TimerQueue {
+  /** The number of cancelled timers below which none of them is removed before its turn. */
+  private static final int MIN_CANCELLED_TO_REMOVE = 1024;
+
   private final PriorityQueue<EventLoop.Timer> timers = new PriorityQueue<>();
+
+  /** The number of cancelled timers in the queue. */
+  private int cancelledCount;
+
   private long nextSequenceNumber;
 
   /**
@@ -18,18 +25,36 @@
    *     clock
    */
   EventLoop.Timer schedule(long dueAtMicros, Runnable task) {
-    EventLoop.Timer timer = new EventLoop.Timer(dueAtMicros, nextSequenceNumber++, task);
+    EventLoop.Timer timer = new EventLoop.Timer(this, dueAtMicros, nextSequenceNumber++, task);
     timers.add(timer);
     return timer;
   }
 
   /** Removes the cancelled timers that precede the first timer that is not cancelled. */
   void removeCancelled() {
-    while (!timers.isEmpty() && timers.peek().isCancelled()) {
+    while (!timers.isEmpty() && timers.peek().isDone()) {
       timers.poll();
+      cancelledCount--;
+    }
+  }
+
+  /**
+   * Called when a timer of this queue is cancelled. Removes all cancelled timers if they are many
+   * and the greater part of the queue: those that are due much later would fill the memory.
+   */
+  void cancelled() {
+    cancelledCount++;
+    if (cancelledCount > MIN_CANCELLED_TO_REMOVE && cancelledCount > timers.size() / 2) {
+      timers.removeIf(EventLoop.Timer::isDone);
+      cancelledCount = 0;
     }
   }
 
+  /** Returns the number of timers that are held, including cancelled ones. */
+  int size() {
+    return timers.size();
+  }
+
   boolean isEmpty() {
     return timers.isEmpty();
   }
@@ -52,9 +77,11 @@
   void runDue(long now, Consumer<Runnable> runner) {
     long sequenceLimit = nextSequenceNumber;
     while (!timers.isEmpty() && timers.peek().isDue(now, sequenceLimit)) {
-      EventLoop.Timer timer = timers.poll();
-      if (!timer.isCancelled()) {
-        runner.accept(timer.task());
+      Runnable task = timers.poll().takeTask();
+      if (task == null) {
+        cancelledCount--;
+      } else {
+        runner.accept(task);
       }
     }
   }
