Keep the ids of calls that may have run and must not run twice in use

Cause: an id was in use while its call was active only; the call of a client that leaves is cancelled and ends at once.

No message of the link is new.

--- a/src/main/java/loomreel/core/CallTable.java
+++ b/src/main/java/loomreel/core/CallTable.java
@@ -1,9 +1,12 @@
 package loomreel.core;
 
+import java.util.Collection;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.IntPredicate;
 
 /**
  * The active calls of a dispatcher, by id. A call is active from its acceptance until it is
@@ -14,6 +17,12 @@
 final class CallTable {
   private final Map<String, Rpc> calls = new HashMap<>();
 
+  /** The ids of ended calls whose jobs may have run and must not run again. */
+  private final CallIdHistory unsafeIds = new CallIdHistory();
+
+  /** Whether jobs of a request class, by its index, must not run twice. */
+  private final IntPredicate mustNotRunTwice;
+
   /**
    * The registry that shares the ids of active calls with another process; null if there is no such
    * registry.
@@ -23,6 +32,15 @@
   /** The maximum number of active calls. */
   private int capacity;
 
+  /**
+   * Creates an empty table.
+   *
+   * @param mustNotRunTwice whether jobs of a request class, by its index, must not run twice
+   */
+  CallTable(IntPredicate mustNotRunTwice) {
+    this.mustNotRunTwice = mustNotRunTwice;
+  }
+
   /** Sets the maximum number of active calls, which is initially 0. */
   void setCapacity(int maxCalls) {
     capacity = maxCalls;
@@ -46,13 +64,27 @@
     }
   }
 
-  /** Removes a call if it is completed and all of its attempts have ended. */
+  /**
+   * Removes a call if it is completed and all of its attempts have ended. If its job may have run
+   * and must not run again, its id stays in use: otherwise a client that has disconnected could
+   * come again with the same id.
+   */
   void removeIfDone(Rpc rpc) {
-    if (rpc.isDone() && calls.remove(rpc.id(), rpc) && registry != null) {
+    if (!rpc.isDone() || !calls.remove(rpc.id(), rpc)) {
+      return;
+    }
+    if (rpc.mayHaveRun() && mustNotRunTwice.test(rpc.requestClass())) {
+      unsafeIds.add(rpc.id());
+    } else if (registry != null) {
       registry.released(rpc.id());
     }
   }
 
+  /** Records the ids of calls whose jobs may have run in another process that has ended. */
+  void addUnsafeIds(Collection<String> ids) {
+    unsafeIds.addAll(ids);
+  }
+
   /** Returns the active call with this id, or null if there is none. */
   Rpc find(String id) {
     return calls.get(id);
@@ -64,15 +96,20 @@
 
   /**
    * Returns whether a call with this id is active in this process or, according to the registry, in
-   * the other process that serves as the same dispatcher.
+   * the other process that serves as the same dispatcher. Also returns true for an ended call whose
+   * job may have run and must not run again.
    */
   boolean inUse(String id) {
-    return isActive(id) || (registry != null && registry.inUseElsewhere(id));
+    return isActive(id)
+        || unsafeIds.contains(id)
+        || (registry != null && registry.inUseElsewhere(id));
   }
 
-  /** Returns a copy of the ids of all active calls. */
-  Set<String> activeIds() {
-    return Set.copyOf(calls.keySet());
+  /** Returns a copy of the ids that must not be used in another process. */
+  Set<String> idsInUse() {
+    Set<String> ids = new LinkedHashSet<>(unsafeIds.copy());
+    ids.addAll(calls.keySet());
+    return ids;
   }
 
   int size() {
--- a/src/main/java/loomreel/core/Dispatcher.java
+++ b/src/main/java/loomreel/core/Dispatcher.java
@@ -1,10 +1,12 @@
 package loomreel.core;
 
+import java.util.Collection;
 import java.util.List;
 import java.util.Set;
 import loomreel.decision.AttemptOutcome;
 import loomreel.decision.Endpoint;
 import loomreel.decision.Event;
+import loomreel.decision.Idempotency;
 import loomreel.decision.Settings;
 import loomreel.decision.WorkerLoad;
 import loomreel.io.EventLoop;
@@ -40,7 +42,7 @@
   private final long answerGraceMicros;
   private final RateLimitedLogger log = new RateLimitedLogger("loomreel.core.dispatcher");
   private final DispatcherMetrics metrics;
-  private final CallTable calls = new CallTable();
+  private final CallTable calls;
   private final WorkerPools pools = new WorkerPools();
   private final PolicyDriver policy;
 
@@ -63,6 +65,10 @@
     this.seed = seed;
     this.answerGraceMicros = answerGraceMicros;
     metrics = new DispatcherMetrics(settings.classes());
+    calls =
+        new CallTable(
+            requestClass ->
+                settings.classes().get(requestClass).idempotency() == Idempotency.NON_IDEMPOTENT);
     ActionExecutor executor = new ActionExecutor(this, loop, calls, pools, settings.limits());
     policy = new PolicyDriver(loop, executor::execute);
   }
@@ -181,7 +187,7 @@
   /**
    * Returns whether a call with this id is active in this process or, according to the {@link
    * CallIdRegistry}, in another process that serves as the same dispatcher, for example during a
-   * hot restart.
+   * hot restart. Also returns true for an ended call whose job may have run and must not run again.
    */
   public boolean inUse(String id) {
     return calls.inUse(id);
@@ -192,9 +198,17 @@
     calls.setRegistry(registry);
   }
 
-  /** Returns a copy of the ids of the calls that are active in this process. */
-  public Set<String> activeIds() {
-    return calls.activeIds();
+  /**
+   * Returns a copy of the ids of the calls that are active in this process, and of ended ones whose
+   * jobs may have run and must not run again.
+   */
+  public Set<String> idsInUse() {
+    return calls.idsInUse();
+  }
+
+  /** Records the ids of calls whose jobs may have run in another process that has ended. */
+  public void addUnsafeIds(Collection<String> ids) {
+    calls.addUnsafeIds(ids);
   }
 
   /**
--- a/src/main/java/loomreel/process/HotRestart.java
+++ b/src/main/java/loomreel/process/HotRestart.java
@@ -2,9 +2,8 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
-import java.util.HashSet;
 import java.util.Optional;
-import java.util.Set;
+import loomreel.core.CallIdHistory;
 import loomreel.core.CallIdRegistry;
 import loomreel.core.Dispatcher;
 import loomreel.io.RateLimitedLogger;
@@ -56,10 +55,10 @@
   private final Optional<HotRestartChannel> channel;
 
   /**
-   * The ids of the calls that are active in a peer. An id must not be active in two processes at
-   * the same time.
+   * The ids of the calls that are active in a peer, and of ended ones whose jobs may have run there
+   * and must not run again.
    */
-  private final Set<String> idsActiveElsewhere = new HashSet<>();
+  private final CallIdHistory idsInUseElsewhere = new CallIdHistory();
 
   private HotRestart(Dispatcher dispatcher, Optional<HotRestartChannel> channel) {
     this.dispatcher = dispatcher;
@@ -150,16 +149,17 @@
    * changed. Must be called at the start and whenever a peer connects or disconnects.
    *
    * <p>If a peer is connected, this process uses half of the slow-start allowance and sends the ids
-   * of its active calls to each peer. Otherwise, this process uses the full allowance and discards
-   * the ids that peers have sent. In both cases, the new fraction replaces the fraction that {@link
-   * #handOver} or {@link #takeFullAllowance} has set.
+   * that must not be used elsewhere to each peer. Otherwise, this process uses the full allowance.
+   * The ids that peers have sent stay in use, since their jobs may have run. In both cases, the new
+   * fraction replaces the fraction that {@link #handOver} or {@link #takeFullAllowance} has set.
    */
   public void updateAllowanceAndCallIds() {
     boolean isPeerConnected = isPeerConnected();
     if (isPeerConnected) {
-      dispatcher.activeIds().forEach(this::acquired);
+      dispatcher.idsInUse().forEach(this::acquired);
     } else {
-      idsActiveElsewhere.clear();
+      dispatcher.addUnsafeIds(idsInUseElsewhere.copy());
+      idsInUseElsewhere.clear();
     }
     dispatcher.setCapacityFraction(isPeerConnected ? HALF_ALLOWANCE : FULL_ALLOWANCE);
   }
@@ -193,16 +193,16 @@
 
   @Override
   public boolean inUseElsewhere(String id) {
-    return idsActiveElsewhere.contains(id);
+    return idsInUseElsewhere.contains(id);
   }
 
   /** Records that the call with this id has become active in a peer. */
   void acquiredElsewhere(String id) {
-    idsActiveElsewhere.add(id);
+    idsInUseElsewhere.add(id);
   }
 
   /** Records that the call with this id is no longer active in a peer. */
   void releasedElsewhere(String id) {
-    idsActiveElsewhere.remove(id);
+    idsInUseElsewhere.remove(id);
   }
 }
--- a/src/test/java/loomreel/program/ClientDisconnectTest.java
+++ b/src/test/java/loomreel/program/ClientDisconnectTest.java
@@ -5,6 +5,7 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import loomreel.program.harness.DispatcherProcess;
 import loomreel.program.harness.HttpIo;
 import loomreel.program.harness.HttpMessage;
 import loomreel.program.harness.StalledListener;
@@ -236,4 +237,76 @@
       }
     }
   }
+
+  /**
+   * Guards against a second run of a job whose client has disconnected and comes again with the
+   * same id. A job that may run twice is accepted again.
+   */
+  @ParameterizedTest
+  @CsvSource({"/issue,true", "/copy,false"})
+  void anIdThatMayHaveRunIsNotAcceptedAgainIfItMustNotRunTwice(String path, boolean isRejected)
+      throws Exception {
+    try (DispatcherProcess program = new DispatcherProcess(1)) {
+      SubmittedJob job = program.submit(path, "");
+      program.worker(0).nextRequest().respond(202, "");
+      disconnect(job.connection(), false);
+      assertEquals(
+          "DELETE /jobs/" + job.id() + " HTTP/1.1", program.worker(0).nextRequest().startLine());
+
+      SubmittedJob again = program.submitAgain(job, path);
+
+      if (isRejected) {
+        assertEquals(400, again.response().status());
+      } else {
+        program.serveNextJob(0, "second");
+        assertEquals("second", again.response().body());
+      }
+    }
+  }
+
+  /** The same, where the client comes to the other process of an upgrade, or after the upgrade. */
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void anIdThatMayHaveRunIsNotAcceptedByTheSuccessor(boolean isUpgradeOver) throws Exception {
+    try (DispatcherProcess program = DispatcherProcess.supervised(1)) {
+      SubmittedJob job = program.submit("/issue", "");
+      program.worker(0).nextRequest().respond(202, "");
+      disconnect(job.connection(), false);
+      assertEquals(
+          "DELETE /jobs/" + job.id() + " HTTP/1.1", program.worker(0).nextRequest().startLine());
+      program.startSuccessor();
+      program.instance(0).destroy();
+      program.awaitLog("graceful shutdown started successor=true");
+      if (isUpgradeOver) {
+        program.awaitExit(0);
+      }
+
+      assertEquals(400, program.submitAgain(job, "/issue").response().status());
+      assertFalse(program.worker(0).hasPendingRequest());
+    }
+  }
+
+  /**
+   * Guards against jobs that are sent on although their client has closed its connection, behind
+   * more input than the dispatcher reads and discards.
+   */
+  @Test
+  void aRequestIsNotServedIfTheDisconnectIsBehindTooMuchInput() throws Exception {
+    try (StepControlledServer server = new StepControlledServer(1);
+        Socket client = server.connect()) {
+      server.awaitPendingInputRead();
+      server.drainSteps();
+
+      server.whileLoopIsPaused(
+          () -> {
+            server.submit(client, "/issue", 20_000, "");
+            HttpIo.write(client, "POST /issue HTTP/1.1\r\n".repeat(25_000));
+            disconnect(client, false);
+          });
+
+      SubmittedJob next = server.submit("/copy", "");
+      assertEquals(next.id(), server.awaitStep(Step.JOB_ARRIVED).field("id"));
+      assertEquals(next.id(), server.worker(0).nextRequest().header("X-Call-Id"));
+    }
+  }
 }
--- a/src/test/java/loomreel/program/harness/DispatcherHarness.java
+++ b/src/test/java/loomreel/program/harness/DispatcherHarness.java
@@ -141,6 +141,13 @@
     return submit(connect(), path, DEADLINE_MILLIS, "Idempotency-Key: " + key + "\r\n", "");
   }
 
+  /** Submits a job again, on a new connection and with the same id. */
+  public SubmittedJob submitAgain(SubmittedJob job, String path) throws IOException {
+    Socket connection = connect();
+    HttpIo.write(connection, jobRequest(path, job.id(), DEADLINE_MILLIS, "", ""));
+    return new SubmittedJob(job.id(), connection);
+  }
+
   private static SubmittedJob submit(
       Socket connection, String path, int deadlineMillis, String headers, String body)
       throws IOException {
