Reject a request behind which more input has arrived than is read

Cause: a close is seen at the end of the input only; beyond the discard limit the reading stops, and the job was accepted without having seen the end.

Change: 413, as for a job that is already being processed. Measured: the last method of ClientDisconnectTest was red before, green after.

--- a/src/main/java/loomreel/ingress/ClientConnection.java
+++ b/src/main/java/loomreel/ingress/ClientConnection.java
@@ -198,9 +198,11 @@
   }
 
   /**
-   * Reads and buffers all input that has arrived after the current request.
+   * Reads and buffers all input that has arrived after the current request. If there is more than
+   * the discard limit, rejects the request with status 413.
    *
-   * @return whether the connection is still open; false if the client has disconnected
+   * @return whether the request may be processed; false if it was rejected or the client has
+   *     disconnected
    */
   boolean readPendingInput() {
     if (hasPipelinedInput()) {
@@ -211,6 +213,11 @@
     while (mayHaveMore && state.isOutputOpen() && !pipelinedInput.exceedsDiscardLimit()) {
       mayHaveMore = readNow();
     }
+    if (state.isOutputOpen() && pipelinedInput.exceedsDiscardLimit()) {
+      // The end of the input is not reached: the client may have disconnected long ago.
+      respondAndClose(HttpStatus.CONTENT_TOO_LARGE);
+      return false;
+    }
     return state.isOutputOpen();
   }
 
