--- a/src/main/java/loomreel/faktory/queue/HeapLimits.java
+++ b/src/main/java/loomreel/faktory/queue/HeapLimits.java
@@ -20,7 +20,7 @@
   private static final double MAX_ENDED_FRACTION = 0.2;
   private static final double MAX_RESULT_FRACTION = 1 / 128.0;
 
-  private static final double MAX_RESTORED_FRACTION = 0.55;
+  private static final double MAX_RESTORED_FRACTION = 0.7;
 
   /** The bounds for a heap of a size in bytes. */
   public static HeapLimits of(long heapBytes) {
