Release the ids of ended calls to the other process of an upgrade again

The bytes on the link are not to change.

Change: ids are released as before. The other process records released ids, and those in flight when a link ends; a new process is told of ended ones by the same two messages. Only a single_shot request with such an id is rejected.

--- a/src/main/java/loomreel/core/CallIdRegistry.java
+++ b/src/main/java/loomreel/core/CallIdRegistry.java
@@ -10,8 +10,8 @@
   void acquired(String id);
 
   /**
-   * Called when the call with this id is no longer active in this process and the id may be used
-   * again. Not called if its job may have run and must not run again.
+   * Called when the call with this id is no longer active in this process, so that the id may be
+   * used again, unless the job may have run and must not run again.
    */
   void released(String id);
 
--- a/src/main/java/loomreel/core/CallTable.java
+++ b/src/main/java/loomreel/core/CallTable.java
@@ -2,7 +2,6 @@
 
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -17,7 +16,7 @@
 final class CallTable {
   private final Map<String, Rpc> calls = new HashMap<>();
 
-  /** The ids of ended calls whose jobs may have run and must not run again. */
+  /** The ids of ended calls whose jobs may have run, in this process or in another one. */
   private final CallIdHistory unsafeIds = new CallIdHistory();
 
   /** Whether jobs of a request class, by its index, must not run twice. */
@@ -66,8 +65,8 @@
 
   /**
    * Removes a call if it is completed and all of its attempts have ended. If its job may have run
-   * and must not run again, its id stays in use: otherwise a client that has disconnected could
-   * come again with the same id.
+   * and must not run again, its id is recorded: otherwise a client that has disconnected could come
+   * again with the same id.
    */
   void removeIfDone(Rpc rpc) {
     if (!rpc.isDone() || !calls.remove(rpc.id(), rpc)) {
@@ -75,12 +74,28 @@
     }
     if (rpc.mayHaveRun() && mustNotRunTwice.test(rpc.requestClass())) {
       unsafeIds.add(rpc.id());
-    } else if (registry != null) {
+    }
+    if (registry != null) {
       registry.released(rpc.id());
     }
   }
 
-  /** Records the ids of calls whose jobs may have run in another process that has ended. */
+  /**
+   * Returns whether a job with this id may have run before, in an ended call, and must not run
+   * again.
+   *
+   * @param requestClass the index of the request class of the job
+   */
+  boolean isUnsafe(String id, int requestClass) {
+    return mustNotRunTwice.test(requestClass) && unsafeIds.contains(id);
+  }
+
+  /** Returns a copy of the ids of ended calls whose jobs may have run. */
+  List<String> unsafeIds() {
+    return unsafeIds.copy();
+  }
+
+  /** Records the ids of calls whose jobs may have run in another process. */
   void addUnsafeIds(Collection<String> ids) {
     unsafeIds.addAll(ids);
   }
@@ -96,20 +111,15 @@
 
   /**
    * Returns whether a call with this id is active in this process or, according to the registry, in
-   * the other process that serves as the same dispatcher. Also returns true for an ended call whose
-   * job may have run and must not run again.
+   * the other process that serves as the same dispatcher.
    */
   boolean inUse(String id) {
-    return isActive(id)
-        || unsafeIds.contains(id)
-        || (registry != null && registry.inUseElsewhere(id));
+    return isActive(id) || (registry != null && registry.inUseElsewhere(id));
   }
 
-  /** Returns a copy of the ids that must not be used in another process. */
-  Set<String> idsInUse() {
-    Set<String> ids = new LinkedHashSet<>(unsafeIds.copy());
-    ids.addAll(calls.keySet());
-    return ids;
+  /** Returns a copy of the ids of all active calls. */
+  Set<String> activeIds() {
+    return Set.copyOf(calls.keySet());
   }
 
   int size() {
--- a/src/main/java/loomreel/core/Dispatcher.java
+++ b/src/main/java/loomreel/core/Dispatcher.java
@@ -187,7 +187,7 @@
   /**
    * Returns whether a call with this id is active in this process or, according to the {@link
    * CallIdRegistry}, in another process that serves as the same dispatcher, for example during a
-   * hot restart. Also returns true for an ended call whose job may have run and must not run again.
+   * hot restart.
    */
   public boolean inUse(String id) {
     return calls.inUse(id);
@@ -199,14 +199,26 @@
   }
 
   /**
-   * Returns a copy of the ids of the calls that are active in this process, and of ended ones whose
-   * jobs may have run and must not run again.
+   * Returns whether a job with this id may have run before, in an ended call of this process or of
+   * another one that served as the same dispatcher, and must not run again.
+   *
+   * @param requestClass the index of the request class of the job
    */
-  public Set<String> idsInUse() {
-    return calls.idsInUse();
+  public boolean isUnsafe(String id, int requestClass) {
+    return calls.isUnsafe(id, requestClass);
+  }
+
+  /** Returns a copy of the ids of the calls that are active in this process. */
+  public Set<String> activeIds() {
+    return calls.activeIds();
+  }
+
+  /** Returns a copy of the ids of ended calls whose jobs may have run. */
+  public List<String> unsafeIds() {
+    return calls.unsafeIds();
   }
 
-  /** Records the ids of calls whose jobs may have run in another process that has ended. */
+  /** Records the ids of calls whose jobs may have run in another process. */
   public void addUnsafeIds(Collection<String> ids) {
     calls.addUnsafeIds(ids);
   }
--- a/src/main/java/loomreel/ingress/RequestHandler.java
+++ b/src/main/java/loomreel/ingress/RequestHandler.java
@@ -101,7 +101,9 @@
       return;
     }
     Optional<JobRequest> job =
-        JobRequest.parse(request).filter(parsed -> !dispatcher.inUse(parsed.callId()));
+        JobRequest.parse(request)
+            .filter(parsed -> !dispatcher.inUse(parsed.callId()))
+            .filter(parsed -> !dispatcher.isUnsafe(parsed.callId(), requestClass));
     if (job.isEmpty()) {
       request.body().release();
       connection.respond(HttpStatus.BAD_REQUEST);
--- a/src/main/java/loomreel/process/HotRestart.java
+++ b/src/main/java/loomreel/process/HotRestart.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Optional;
 import loomreel.core.CallIdHistory;
 import loomreel.core.CallIdRegistry;
@@ -55,10 +56,10 @@
   private final Optional<HotRestartChannel> channel;
 
   /**
-   * The ids of the calls that are active in a peer, and of ended ones whose jobs may have run there
-   * and must not run again.
+   * The ids of the calls that are active in a peer. An id must not be active in two processes at
+   * the same time.
    */
-  private final CallIdHistory idsInUseElsewhere = new CallIdHistory();
+  private final CallIdHistory idsActiveElsewhere = new CallIdHistory();
 
   private HotRestart(Dispatcher dispatcher, Optional<HotRestartChannel> channel) {
     this.dispatcher = dispatcher;
@@ -149,17 +150,19 @@
    * changed. Must be called at the start and whenever a peer connects or disconnects.
    *
    * <p>If a peer is connected, this process uses half of the slow-start allowance and sends the ids
-   * that must not be used elsewhere to each peer. Otherwise, this process uses the full allowance.
-   * The ids that peers have sent stay in use, since their jobs may have run. In both cases, the new
-   * fraction replaces the fraction that {@link #handOver} or {@link #takeFullAllowance} has set.
+   * of its active calls, and of ended ones whose jobs may have run, to each peer. Otherwise, this
+   * process uses the full allowance. The jobs of the ids that peers have sent may have run. In both
+   * cases, the new fraction replaces the fraction that {@link #handOver} or {@link
+   * #takeFullAllowance} has set.
    */
   public void updateAllowanceAndCallIds() {
     boolean isPeerConnected = isPeerConnected();
     if (isPeerConnected) {
-      dispatcher.idsInUse().forEach(this::acquired);
+      dispatcher.unsafeIds().forEach(this::acquiredAndReleased);
+      dispatcher.activeIds().forEach(this::acquired);
     } else {
-      dispatcher.addUnsafeIds(idsInUseElsewhere.copy());
-      idsInUseElsewhere.clear();
+      dispatcher.addUnsafeIds(idsActiveElsewhere.copy());
+      idsActiveElsewhere.clear();
     }
     dispatcher.setCapacityFraction(isPeerConnected ? HALF_ALLOWANCE : FULL_ALLOWANCE);
   }
@@ -191,18 +194,26 @@
     send(HotRestartMessage.oneWayMessage(HotRestartMessage.Type.CALL_ID_RELEASED, id));
   }
 
+  /** Tells each peer of an ended call, which an earlier build ignores. */
+  private void acquiredAndReleased(String id) {
+    acquired(id);
+    released(id);
+  }
+
   @Override
   public boolean inUseElsewhere(String id) {
-    return idsInUseElsewhere.contains(id);
+    return idsActiveElsewhere.contains(id);
   }
 
   /** Records that the call with this id has become active in a peer. */
   void acquiredElsewhere(String id) {
-    idsInUseElsewhere.add(id);
+    idsActiveElsewhere.add(id);
   }
 
   /** Records that the call with this id is no longer active in a peer. */
   void releasedElsewhere(String id) {
-    idsInUseElsewhere.remove(id);
+    idsActiveElsewhere.remove(id);
+    // The message does not say whether the job has run.
+    dispatcher.addUnsafeIds(List.of(id));
   }
 }
